--- /dev/null
+++ b/include/figwind/finding.h
@@ -0,0 +1,67 @@
+// Results and findings: errors are collected with their place and reported
+// together.
+
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace figwind {
+
+/// Where a finding was made; empty parts are unknown, line 0 is no line.
+struct place {
+  std::string file;
+  std::size_t line = 0;
+  std::string section;
+  std::string key;
+
+  friend auto operator==(const place&, const place&) -> bool = default;
+};
+
+/// One thing that is wrong with an input.
+struct finding {
+  place where;
+  std::string message;
+
+  friend auto operator==(const finding&, const finding&) -> bool = default;
+};
+
+using findings = std::vector<finding>;
+
+/// A value, or all that was found wrong while making it.
+template <class T>
+using result = std::variant<T, findings>;
+
+/// True when `r` holds a value.
+template <class T>
+auto ok(const result<T>& r) -> bool {
+  return r.index() == 0;
+}
+
+/// The value of `r`; throws `std::bad_variant_access` when there is none.
+template <class T>
+auto value(const result<T>& r) -> const T& {
+  return std::get<0>(r);
+}
+
+template <class T>
+auto value(result<T>&& r) -> T {
+  return std::get<0>(std::move(r));
+}
+
+/// The findings of `r`; empty when it holds a value.
+template <class T>
+auto errors(const result<T>& r) -> findings {
+  return ok(r) ? findings{} : std::get<1>(r);
+}
+
+/// One finding as `file:line: [section] key: message`.
+auto to_string(const finding& x) -> std::string;
+
+/// All findings, one a line.
+auto to_string(const findings& all) -> std::string;
+
+}  // namespace figwind
--- /dev/null
+++ b/include/figwind/ids.h
@@ -0,0 +1,101 @@
+// Strong types for names and numbers that must not be mixed up.
+
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace figwind {
+
+/// A value of type `T` that only converts to others of the same `Tag`.
+template <class Tag, class T>
+struct strong {
+  using value_type = T;
+
+  T value{};
+
+  friend auto operator<=>(const strong&, const strong&) = default;
+  friend auto operator==(const strong&, const strong&) -> bool = default;
+};
+
+template <class Inspector, class Tag, class T>
+auto inspect(Inspector& f, strong<Tag, T>& x) {
+  return f(x.value);
+}
+
+/// A service, such as `contracte`; a backend server belongs to one service.
+using service_name = strong<struct service_name_tag, std::string>;
+
+/// A class of work, such as `loan-confirmation`.
+using class_name = strong<struct class_name_tag, std::string>;
+
+/// A failure domain, such as `ro-centru-a`.
+using failure_domain = strong<struct failure_domain_tag, std::string>;
+
+/// The key under which a non-idempotent request runs at most once; its parts
+/// are described in `key_recorder.h`.
+using request_key = strong<struct request_key_tag, std::string>;
+
+/// An address of a process on a VM as `ip:port`.
+using vm_address = strong<struct vm_address_tag, std::string>;
+
+/// The version of an accepted configuration; 0 before the first.
+using config_version = strong<struct config_version_tag, std::uint64_t>;
+
+/// Start number of a process; a later start at the same address is higher.
+using incarnation = strong<struct incarnation_tag, std::uint64_t>;
+
+/// Identity of one life of a process: its control address and incarnation.
+struct node_id {
+  vm_address address;
+  incarnation start;
+
+  friend auto operator<=>(const node_id&, const node_id&) = default;
+};
+
+template <class Inspector>
+auto inspect(Inspector& f, node_id& x) {
+  return f(x.address, x.start);
+}
+
+/// Identity of one request over its whole call chain, 128 random bits.
+struct request_id {
+  std::uint64_t high = 0;
+  std::uint64_t low = 0;
+
+  friend auto operator<=>(const request_id&, const request_id&) = default;
+};
+
+template <class Inspector>
+auto inspect(Inspector& f, request_id& x) {
+  return f(x.high, x.low);
+}
+
+}  // namespace figwind
+
+template <class Tag, class T>
+struct std::hash<figwind::strong<Tag, T>> {
+  auto operator()(const figwind::strong<Tag, T>& x) const noexcept
+      -> std::size_t {
+    return std::hash<T>{}(x.value);
+  }
+};
+
+template <>
+struct std::hash<figwind::request_id> {
+  auto operator()(const figwind::request_id& x) const noexcept -> std::size_t {
+    return x.high ^ (x.low * 0x9e3779b97f4a7c15U);
+  }
+};
+
+template <>
+struct std::hash<figwind::node_id> {
+  auto operator()(const figwind::node_id& x) const noexcept -> std::size_t {
+    return std::hash<std::string>{}(x.address.value) ^
+           (x.start.value * 0x9e3779b97f4a7c15U);
+  }
+};
--- /dev/null
+++ b/include/figwind/parse.h
@@ -0,0 +1,25 @@
+// Parse functions for the values of settings and workloads.
+
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "figwind/ids.h"
+#include "figwind/units.h"
+
+namespace figwind {
+
+/// `text` as a number, or nothing when any part of it is not a number.
+auto parse_number(const std::string& text) -> std::optional<double>;
+
+/// `text` as a duration with its unit, as in `300 ms`, `3 s` or `10 min`.
+auto parse_duration(const std::string& text) -> std::optional<duration>;
+
+/// `yes` or `no`.
+auto parse_flag(const std::string& text) -> std::optional<bool>;
+
+/// An IP number and a port as in `127.0.0.1:7101`; host names are refused.
+auto parse_address(const std::string& text) -> std::optional<vm_address>;
+
+}  // namespace figwind
--- /dev/null
+++ b/include/figwind/random.h
@@ -0,0 +1,37 @@
+// Seeded random numbers: the only source of randomness in decision modules.
+
+#pragma once
+
+#include <cstdint>
+#include <random>
+
+namespace figwind {
+
+/// A seeded generator; the same seed gives the same numbers on every machine.
+/// Distributions of the standard library differ between implementations, so
+/// only its engine is used.
+class random_source {
+ public:
+  explicit random_source(std::uint64_t seed) : engine_{seed} {}
+
+  /// A number of 64 random bits.
+  auto bits() -> std::uint64_t { return engine_(); }
+
+  /// A number in [0, 1).
+  auto unit() -> double {
+    return static_cast<double>(engine_() >> 11U) * 0x1.0p-53;
+  }
+
+  /// An index in [0, size); size must be above 0.
+  auto index(std::size_t size) -> std::size_t {
+    return static_cast<std::size_t>(unit() * static_cast<double>(size));
+  }
+
+  /// True with probability `p`.
+  auto chance(double p) -> bool { return unit() < p; }
+
+ private:
+  std::mt19937_64 engine_;
+};
+
+}  // namespace figwind
--- /dev/null
+++ b/include/figwind/settings.h
@@ -0,0 +1,54 @@
+// Settings of one process, read from its INI file at start.
+
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "figwind/finding.h"
+#include "figwind/ids.h"
+#include "figwind/ini.h"
+#include "figwind/units.h"
+
+namespace figwind {
+
+/// A control member as the settings name it: `ID@address`.
+struct control_peer {
+  std::uint64_t id = 0;
+  vm_address address;
+
+  friend auto operator==(const control_peer&, const control_peer&)
+      -> bool = default;
+};
+
+/// Everything that a process learns from its settings file.
+struct settings {
+  /// Processes of another cluster name are refused.
+  std::string cluster;
+  failure_domain domain;
+  bool is_node = false;
+  bool is_control = false;
+  /// Messages between figwind's processes.
+  vm_address control_address;
+  /// HTTP of callers, backend servers and other nodes; nodes only.
+  vm_address call_address;
+  /// HTTP of operators and metrics.
+  vm_address operator_address;
+  /// Control members only.
+  std::string data_folder;
+  /// File with the token that guards changes; empty refuses all changes.
+  std::string token_file;
+  /// Longest wait for work in progress after a drain began.
+  duration drain_limit = minutes(10);
+  /// Id of this process among `members`; control members only.
+  std::uint64_t member_id = 0;
+  std::vector<control_peer> members;
+
+  friend auto operator==(const settings&, const settings&) -> bool = default;
+};
+
+/// Reads the sections `[process]`, `[node]` and `[control]`; reports all
+/// findings of the file together.
+auto parse_settings(const ini_file& file) -> result<settings>;
+
+}  // namespace figwind
--- /dev/null
+++ b/include/figwind/workload.h
@@ -0,0 +1,60 @@
+// Classes of work and their targets: all that operators declare.
+
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "figwind/finding.h"
+#include "figwind/ids.h"
+#include "figwind/ini.h"
+#include "figwind/units.h"
+
+namespace figwind {
+
+/// One class of work. Limits and shares are derived from its targets and from
+/// what is observed; there are no weights and no addresses.
+struct call_class {
+  class_name name;
+  service_name service;
+  /// True when running a request twice has the effect of running it once.
+  bool idempotent = true;
+  /// Time within which a request must be answered, end to end.
+  duration latency_target;
+  /// Share of requests that must succeed within the latency target.
+  fraction success_target;
+  /// 1 is the most important; no two classes share a number.
+  int importance = 1;
+
+  friend auto operator==(const call_class&, const call_class&)
+      -> bool = default;
+};
+
+/// All classes of a deployment.
+struct workload {
+  std::vector<call_class> classes;
+
+  friend auto operator==(const workload&, const workload&) -> bool = default;
+};
+
+/// The class with `name`, or null.
+auto find_class(const workload& all, const class_name& name)
+    -> const call_class*;
+
+/// Reads sections `[class NAME]` with the keys `service`, `idempotent` (yes or
+/// no), `latency` (with unit ms or s), `success` (0 to 1) and `importance`.
+/// Reports all findings of the file together.
+auto parse_workload(const ini_file& file) -> result<workload>;
+
+template <class Inspector>
+auto inspect(Inspector& f, call_class& x) {
+  return f(x.name, x.service, x.idempotent, x.latency_target, x.success_target,
+           x.importance);
+}
+
+template <class Inspector>
+auto inspect(Inspector& f, workload& x) {
+  return f(x.classes);
+}
+
+}  // namespace figwind
--- /dev/null
+++ b/src/adapters/log.cc
@@ -0,0 +1,67 @@
+#include "adapters/log.h"
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+#include <chrono>
+#include <memory>
+
+namespace figwind {
+namespace {
+
+auto& process_name() {
+  static auto name = std::string{"figwind"};
+  return name;
+}
+
+auto now_ms() -> std::int64_t {
+  using namespace std::chrono;
+  auto since_epoch = system_clock::now().time_since_epoch();
+  return duration_cast<std::chrono::milliseconds>(since_epoch).count();
+}
+
+void write(log4cplus::LogLevel level, const char* level_name,
+           const std::string& event, const log_fields& fields) {
+  auto line = log_fields{{"time_ms", now_ms()},
+                         {"level", level_name},
+                         {"process", process_name()},
+                         {"event", event}};
+  line.update(fields);
+  auto logger = log4cplus::Logger::getInstance("figwind");
+  auto text = line.dump(-1, ' ', false, log_fields::error_handler_t::replace);
+  logger.log(level, text);
+}
+
+}  // namespace
+
+void open_log(const std::string& process) {
+  static log4cplus::Initializer initializer;
+  process_name() = process;
+  auto logger = log4cplus::Logger::getInstance("figwind");
+  if (!logger.getAllAppenders().empty()) return;
+  constexpr auto to_stderr = true;
+  constexpr auto flush = true;
+  auto appender = log4cplus::SharedAppenderPtr{
+      new log4cplus::ConsoleAppender{to_stderr, flush}};
+  appender->setLayout(
+      std::make_unique<log4cplus::PatternLayout>(LOG4CPLUS_TEXT("%m%n")));
+  logger.addAppender(appender);
+  logger.setLogLevel(log4cplus::INFO_LOG_LEVEL);
+}
+
+void log_info(const std::string& event, const log_fields& fields) {
+  write(log4cplus::INFO_LOG_LEVEL, "info", event, fields);
+}
+
+void log_warning(const std::string& event, const log_fields& fields) {
+  write(log4cplus::WARN_LOG_LEVEL, "warning", event, fields);
+}
+
+void log_error(const std::string& event, const log_fields& fields) {
+  write(log4cplus::ERROR_LOG_LEVEL, "error", event, fields);
+}
+
+}  // namespace figwind
