--- /dev/null
+++ b/include/figwind/burn.h
@@ -0,0 +1,221 @@
+// Service-level burn: how fast each class spends the failures that its success
+// target allows. Counts live in time slots with fixed boundaries, so reports of
+// nodes are merged without moving samples.
+//
+// Windows and alarm levels follow the Google SRE Workbook, chapter 5 "Alerting
+// on SLOs", section 6 "Multiwindow, Multi-Burn-Rate Alerts".
+
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <limits>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "figwind/call.h"
+#include "figwind/ids.h"
+#include "figwind/units.h"
+#include "figwind/workload.h"
+
+namespace figwind {
+
+/// How one whole request ended at its entry node.
+struct burn_event {
+  call_status status = call_status::complete;
+  /// From the arrival of the request to the end of its response.
+  duration latency;
+  /// Why it was refused; `none` unless the status is `not_run`.
+  refusal reason = refusal::none;
+  /// The service that caused the refusal.
+  service_name service;
+  /// Extra attempts made over the whole call chain, and the bound on them.
+  std::uint64_t retries = 0;
+  std::uint64_t retry_bound = 0;
+};
+
+/// A reason for refusals and the service that caused them.
+struct refusal_cause {
+  refusal reason = refusal::none;
+  service_name service;
+
+  friend auto operator<=>(const refusal_cause&, const refusal_cause&) = default;
+};
+
+/// Counts of one class in one time slot of one node. Each count only grows.
+struct burn_counts {
+  /// Complete within the latency target that was in force then.
+  std::uint64_t met = 0;
+  /// Complete, but later than the target.
+  std::uint64_t late = 0;
+  std::uint64_t failed = 0;
+  std::uint64_t unknown = 0;
+  /// Refused for a reason that counts against the target.
+  std::uint64_t refused = 0;
+  std::uint64_t retries = 0;
+  /// Sum of the retry bounds of all requests.
+  std::uint64_t retries_allowed = 0;
+  /// Most retries of one request, and the highest bound.
+  std::uint64_t retries_max = 0;
+  std::uint64_t retry_bound = 0;
+  /// Complete requests by latency bucket; see `latency_bounds`.
+  std::map<std::uint8_t, std::uint64_t> latency;
+  /// All refusals, also those that the caller caused.
+  std::map<refusal_cause, std::uint64_t> refusals;
+
+  friend auto operator==(const burn_counts&, const burn_counts&)
+      -> bool = default;
+};
+
+/// Slot number (Unix time divided by the width of the slot) to counts.
+using burn_slots = std::map<std::uint64_t, burn_counts>;
+
+/// Counts of one class at three widths of slots.
+struct class_burn {
+  /// 1 min wide, for the short window.
+  burn_slots minutes;
+  /// 5 min wide, for the long window and the plots.
+  burn_slots fives;
+  /// 6 h wide, for the period; without latency buckets.
+  burn_slots quarters;
+
+  friend auto operator==(const class_burn&, const class_burn&)
+      -> bool = default;
+};
+
+/// All counts of one life of a node, by class.
+struct node_burn {
+  std::map<class_name, class_burn> classes;
+
+  friend auto operator==(const node_burn&, const node_burn&) -> bool = default;
+};
+
+/// Counts of many nodes.
+struct burn_set {
+  std::map<node_id, node_burn> nodes;
+
+  friend auto operator==(const burn_set&, const burn_set&) -> bool = default;
+};
+
+constexpr auto burn_short_window = minutes(5);
+constexpr auto burn_long_window = minutes(60);
+constexpr auto burn_period = minutes(30.0 * 24 * 60);
+constexpr auto burn_minute_slot = minutes(1);
+constexpr auto burn_five_slot = minutes(5);
+constexpr auto burn_quarter_slot = minutes(6.0 * 60);
+
+/// Causes of refusals that are told apart in one slot; more are counted under
+/// the service `other`.
+constexpr std::size_t max_refusal_causes = 32;
+
+/// Upper bounds in ms of the latency buckets; the last bucket has none. The
+/// steps of 1-2-3-5-7 keep a quantile within 100% of its value.
+constexpr auto latency_bounds =
+    std::array{1.0,  2.0,   3.0,   5.0,   7.0,   10.0,  20.0,  30.0,  50.0,
+               70.0, 100.0, 200.0, 300.0, 500.0, 700.0, 1e3,   2e3,   3e3,
+               5e3,  7e3,   10e3,  20e3,  30e3,  60e3,  120e3, 300e3, 600e3};
+
+/// Adds one request of class `target` to the counts of a node. `now` is on the
+/// Unix clock. Slots that no window needs any more are dropped.
+void record(node_burn& to, const call_class& target, const burn_event& event,
+            time_point now);
+
+/// True when the caller caused the refusal by what it sent; such refusals do
+/// not count against the target.
+auto caused_by_caller(refusal reason) -> bool;
+
+/// Joins two sets. Every count of a node is the higher of the two, so the join
+/// is commutative, associative and idempotent: a report may arrive twice, out
+/// of order or by several ways.
+auto merge(burn_set a, const burn_set& b) -> burn_set;
+
+/// Drops slots older than the period and nodes without slots.
+void trim(burn_set& set, time_point now);
+
+/// What was observed in one window over all nodes.
+struct window_report {
+  std::uint64_t requests = 0;
+  burn_counts counts;
+  /// Share of requests that met the target; 1 without requests.
+  double share_met = 1;
+  /// 1 spends the allowed failures exactly within the period.
+  double burn_rate = 0;
+  /// Upper bounds of the buckets that hold the quantiles, in ms; 0 without
+  /// complete requests and for the period.
+  duration p50;
+  duration p99;
+};
+
+/// What an operator has to do about a class.
+enum class burn_alarm : std::uint8_t {
+  none,
+  /// Burn rate of 1 or more over 3 days and 6 h: look at it on a working day.
+  slow,
+  /// Burn rate of 14.4 or more over 1 h and 5 min: 2% of the month's allowed
+  /// failures in an hour; act now.
+  fast,
+};
+
+auto to_string(burn_alarm x) -> std::string;
+
+constexpr auto fast_burn_rate = 14.4;
+constexpr auto slow_burn_rate = 1.0;
+
+/// One point of the plots: a slot of 5 min.
+struct burn_point {
+  time_point start;
+  std::uint64_t requests = 0;
+  double share_met = 1;
+  double burn_rate = 0;
+};
+
+/// The burn of one class over all nodes of a set.
+struct class_report {
+  call_class target;
+  window_report in_short;
+  window_report in_long;
+  window_report in_period;
+  /// Share of the period's allowed failures that is left, from 0 to 1.
+  double budget_left = 1;
+  /// Until the allowed failures run out at the rate of the long window;
+  /// infinite when nothing fails, 0 when they have run out.
+  duration exhausted_in{std::numeric_limits<double>::infinity()};
+  burn_alarm alarm = burn_alarm::none;
+  /// The last hour, oldest first.
+  std::vector<burn_point> points;
+};
+
+/// Evaluates every class of `targets`, the most important first.
+auto evaluate(const burn_set& set, const workload& targets, time_point now)
+    -> std::vector<class_report>;
+
+template <class Inspector>
+auto inspect(Inspector& f, refusal_cause& x) {
+  return f(x.reason, x.service);
+}
+
+template <class Inspector>
+auto inspect(Inspector& f, burn_counts& x) {
+  return f(x.met, x.late, x.failed, x.unknown, x.refused, x.retries,
+           x.retries_allowed, x.retries_max, x.retry_bound, x.latency,
+           x.refusals);
+}
+
+template <class Inspector>
+auto inspect(Inspector& f, class_burn& x) {
+  return f(x.minutes, x.fives, x.quarters);
+}
+
+template <class Inspector>
+auto inspect(Inspector& f, node_burn& x) {
+  return f(x.classes);
+}
+
+template <class Inspector>
+auto inspect(Inspector& f, burn_set& x) {
+  return f(x.nodes);
+}
+
+}  // namespace figwind
--- a/include/figwind/ini.h
+++ b/include/figwind/ini.h
@@ -21,16 +21,26 @@
 struct ini_section {
   std::string name;
   std::vector<ini_entry> entries;
+  std::size_t line = 0;
 };
 
 /// A parsed file; `name` is used in the places of findings.
 struct ini_file {
   std::string name;
   std::vector<ini_section> sections;
+  /// What is wrong with the lines; the parse functions of settings and
+  /// workloads report it with their own findings.
+  findings broken;
 };
 
-/// Parses `text`; lines that are neither a section, an entry nor a comment are
-/// findings.
+/// Longest line in bytes; the INI reader truncates longer ones.
+constexpr std::size_t max_ini_line = 198;
+
+/// Reads what can be read of `text`. Broken and overlong lines, entries outside
+/// a section, and sections and keys given twice are in `broken`.
+auto read_ini(const std::string& name, const std::string& text) -> ini_file;
+
+/// As `read_ini`, but a file with broken lines is refused.
 auto parse_ini(const std::string& name, const std::string& text)
     -> result<ini_file>;
 
--- /dev/null
+++ b/include/figwind/log_limit.h
@@ -0,0 +1,44 @@
+// Rate limit of log lines per event name.
+
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "figwind/units.h"
+
+namespace figwind {
+
+/// At most `lines` lines of one event within `window`.
+struct log_limits {
+  std::size_t lines = 10;
+  duration window = seconds(10);
+  /// Event names that are told apart; all others share one limit.
+  std::size_t names = 512;
+};
+
+/// Decides which lines are written.
+class log_limiter {
+ public:
+  explicit log_limiter(log_limits limits = {}) : limits_{limits} {}
+
+  /// The number of lines of `event` suppressed since its last written line, or
+  /// nothing when this line is suppressed too. `now` must not go back.
+  auto admit(const std::string& event, time_point now)
+      -> std::optional<std::uint64_t>;
+
+ private:
+  struct event_state {
+    time_point window_start;
+    std::size_t written = 0;
+    std::uint64_t suppressed = 0;
+  };
+
+  log_limits limits_;
+  std::map<std::string, event_state> events_;
+};
+
+}  // namespace figwind
--- a/include/figwind/parse.h
+++ b/include/figwind/parse.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -10,9 +11,16 @@
 
 namespace figwind {
 
-/// `text` as a number, or nothing when any part of it is not a number.
+/// `text` as a finite number, or nothing when any part of it is not a number.
 auto parse_number(const std::string& text) -> std::optional<double>;
 
+/// `text` as a whole number without sign.
+auto parse_whole(const std::string& text) -> std::optional<std::uint64_t>;
+
+/// `text` as a name: letters, digits, `-` and `_`, at most 63 bytes. Names go
+/// into keys, paths and labels, which separate their parts by other signs.
+auto parse_name(const std::string& text) -> std::optional<std::string>;
+
 /// `text` as a duration with its unit, as in `300 ms`, `3 s` or `10 min`.
 auto parse_duration(const std::string& text) -> std::optional<duration>;
 
--- a/include/figwind/settings.h
+++ b/include/figwind/settings.h
@@ -47,8 +47,15 @@
   friend auto operator==(const settings&, const settings&) -> bool = default;
 };
 
+/// Longest drain limit.
+constexpr auto max_drain_limit = minutes(24.0 * 60);
+
 /// Reads the sections `[process]`, `[node]` and `[control]`; reports all
 /// findings of the file together.
 auto parse_settings(const ini_file& file) -> result<settings>;
 
+/// The same from text; `name` is used in the places of findings.
+auto parse_settings(const std::string& name, const std::string& text)
+    -> result<settings>;
+
 }  // namespace figwind
--- a/include/figwind/workload.h
+++ b/include/figwind/workload.h
@@ -41,11 +41,25 @@
 auto find_class(const workload& all, const class_name& name)
     -> const call_class*;
 
+/// Lowest latency target: 1 ms from the caller to a node and 0.31 ms that each
+/// of the two nodes on the path of a call may add.
+constexpr auto min_latency_target = milliseconds(1 + 2 * 0.31);
+
+/// Highest latency target: keys of requests are kept for 10 min.
+constexpr auto max_latency_target = minutes(10);
+
+constexpr auto max_importance = 10'000;
+
 /// Reads sections `[class NAME]` with the keys `service`, `idempotent` (yes or
-/// no), `latency` (with unit ms or s), `success` (0 to 1) and `importance`.
-/// Reports all findings of the file together.
+/// no), `latency` (with unit ms, s or min), `success` (above 0, below 1) and
+/// `importance` (1 to 10,000, each once). Reports all findings of the file
+/// together.
 auto parse_workload(const ini_file& file) -> result<workload>;
 
+/// The same from text; `name` is used in the places of findings.
+auto parse_workload(const std::string& name, const std::string& text)
+    -> result<workload>;
+
 template <class Inspector>
 auto inspect(Inspector& f, call_class& x) {
   return f(x.name, x.service, x.idempotent, x.latency_target, x.success_target,
