--- a/include/figwind/finding.h
+++ b/include/figwind/finding.h
@@ -58,6 +58,9 @@
   return ok(r) ? findings{} : std::get<1>(r);
 }
 
+/// Sorts by line; findings of one line keep their order.
+void sort_by_line(findings& all);
+
 /// One finding as `file:line: [section] key: message`.
 auto to_string(const finding& x) -> std::string;
 
--- a/src/decisions/finding.cc
+++ b/src/decisions/finding.cc
@@ -1,7 +1,16 @@
 #include "figwind/finding.h"
 
+#include <algorithm>
+
 namespace figwind {
 
+void sort_by_line(findings& all) {
+  std::stable_sort(all.begin(), all.end(),
+                   [](const finding& a, const finding& b) {
+                     return a.where.line < b.where.line;
+                   });
+}
+
 auto to_string(const finding& x) -> std::string {
   std::string text;
   if (!x.where.file.empty()) {
--- a/src/decisions/parse.cc
+++ b/src/decisions/parse.cc
@@ -1,20 +1,24 @@
 #include "figwind/parse.h"
 
+#include <arpa/inet.h>
+
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <utility>
 
 namespace figwind {
 namespace {
 
-auto parse_port(const std::string& text) -> std::optional<int> {
-  auto port = 0;
-  const auto* end = text.data() + text.size();
-  auto [rest, error] = std::from_chars(text.data(), end, port);
-  if (error != std::errc{} || rest != end) return std::nullopt;
-  if (port < 1 || port > 65535) return std::nullopt;
-  return port;
+auto is_ip(int family, const std::string& text) -> bool {
+  auto bytes = std::array<unsigned char, 16>{};
+  return inet_pton(family, text.c_str(), bytes.data()) == 1;
+}
+
+auto is_name_sign(char c) -> bool {
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+         (c >= '0' && c <= '9') || c == '-' || c == '_';
 }
 
 }  // namespace
@@ -24,9 +28,25 @@
   const auto* end = text.data() + text.size();
   auto [rest, error] = std::from_chars(text.data(), end, number);
   if (error != std::errc{} || rest != end) return std::nullopt;
+  if (!std::isfinite(number)) return std::nullopt;
   return number;
 }
 
+auto parse_whole(const std::string& text) -> std::optional<std::uint64_t> {
+  auto number = std::uint64_t{0};
+  const auto* end = text.data() + text.size();
+  auto [rest, error] = std::from_chars(text.data(), end, number);
+  if (error != std::errc{} || rest != end) return std::nullopt;
+  return number;
+}
+
+auto parse_name(const std::string& text) -> std::optional<std::string> {
+  constexpr auto max_name = std::size_t{63};
+  if (text.empty() || text.size() > max_name) return std::nullopt;
+  if (!std::all_of(text.begin(), text.end(), is_name_sign)) return std::nullopt;
+  return text;
+}
+
 auto parse_duration(const std::string& text) -> std::optional<duration> {
   using unit = std::pair<const char*, double>;
   constexpr auto units =
@@ -52,12 +72,14 @@
 auto parse_address(const std::string& text) -> std::optional<vm_address> {
   auto colon = text.rfind(':');
   if (colon == std::string::npos || colon == 0) return std::nullopt;
-  if (!parse_port(text.substr(colon + 1))) return std::nullopt;
+  auto port = parse_whole(text.substr(colon + 1));
+  if (!port || *port < 1 || *port > 65535) return std::nullopt;
   auto host = text.substr(0, colon);
-  auto is_ip4 = host.find_first_not_of("0123456789.") == std::string::npos &&
-                std::count(host.begin(), host.end(), '.') == 3;
-  auto is_ip6 = host.front() == '[' && host.back() == ']';
-  if (!is_ip4 && !is_ip6) return std::nullopt;
+  auto in_brackets =
+      host.size() > 2 && host.front() == '[' && host.back() == ']';
+  auto valid = in_brackets ? is_ip(AF_INET6, host.substr(1, host.size() - 2))
+                           : is_ip(AF_INET, host);
+  if (!valid) return std::nullopt;
   return vm_address{text};
 }
 
--- a/src/decisions/settings.cc
+++ b/src/decisions/settings.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <set>
 #include <sstream>
 
 #include "figwind/parse.h"
@@ -32,51 +33,61 @@
   };
 }
 
-auto set_roles(const std::string& text, settings& to) -> bool {
-  to.is_node = text == "node" || text == "node, control";
-  to.is_control = text == "control" || text == "node, control";
-  return to.is_node || to.is_control;
+auto set_cluster(const std::string& text, settings& to) -> bool {
+  to.cluster = parse_name(text).value_or("");
+  return !to.cluster.empty();
 }
 
 auto set_domain(const std::string& text, settings& to) -> bool {
-  to.domain.value = text;
-  return !text.empty() && text.find('.') == std::string::npos;
+  to.domain.value = parse_name(text).value_or("");
+  return !to.domain.value.empty();
+}
+
+auto set_roles(const std::string& text, settings& to) -> bool {
+  auto both = text == "node, control" || text == "control, node";
+  to.is_node = both || text == "node";
+  to.is_control = both || text == "control";
+  return to.is_node || to.is_control;
 }
 
 auto set_drain_limit(const std::string& text, settings& to) -> bool {
   auto limit = parse_duration(text);
-  if (limit) to.drain_limit = *limit;
-  return limit && limit->ms > 0;
+  if (!limit || limit->ms <= 0 || *limit > max_drain_limit) return false;
+  to.drain_limit = *limit;
+  return true;
 }
 
 auto set_member_id(const std::string& text, settings& to) -> bool {
-  auto id = parse_number(text);
-  if (id && *id >= 1) to.member_id = static_cast<std::uint64_t>(*id);
+  to.member_id = parse_whole(text).value_or(0);
   return to.member_id != 0;
 }
 
 auto set_members(const std::string& text, settings& to) -> bool {
+  auto members = std::vector<control_peer>{};
   auto in = std::istringstream{text};
   auto item = std::string{};
   while (std::getline(in, item, ',')) {
     item.erase(0, item.find_first_not_of(' '));
+    item.erase(item.find_last_not_of(' ') + 1);
     auto at = item.find('@');
     if (at == std::string::npos) return false;
-    auto id = parse_number(item.substr(0, at));
+    auto id = parse_whole(item.substr(0, at));
     auto address = parse_address(item.substr(at + 1));
     if (!id || *id < 1 || !address) return false;
-    to.members.push_back({static_cast<std::uint64_t>(*id), *address});
+    members.push_back({*id, *address});
   }
+  to.members = std::move(members);
   return !to.members.empty();
 }
 
 auto rules() -> const std::map<std::string, setting_rule>& {
   static const auto address_rule =
-      std::string{"must be an IP number and a port"};
+      std::string{"must be an IP number and a port, as in 10.0.0.1:7101"};
+  static const auto name_rule =
+      std::string{"must be a name of letters, digits, - and _"};
   static const auto all = std::map<std::string, setting_rule>{
-      {"process.cluster", {set_text(&settings::cluster), "must be a name"}},
-      {"process.failure_domain",
-       {set_domain, "must be a name without a full stop"}},
+      {"process.cluster", {set_cluster, name_rule}},
+      {"process.failure_domain", {set_domain, name_rule}},
       {"process.roles",
        {set_roles, "must be node, control or \"node, control\""}},
       {"process.control_address",
@@ -88,59 +99,169 @@
       {"node.call_address",
        {set_address(&settings::call_address), address_rule}},
       {"node.drain_limit",
-       {set_drain_limit, "must be a duration, as in 10 min"}},
+       {set_drain_limit,
+        "must be a duration above 0 and up to 1440 min, as in 10 min"}},
       {"control.data_folder",
        {set_text(&settings::data_folder), "must be a path"}},
-      {"control.member_id", {set_member_id, "must be a number from 1"}},
+      {"control.member_id", {set_member_id, "must be a whole number from 1"}},
       {"control.members",
        {set_members, "must be a list as in 1@10.0.0.1:7101, 2@10.0.1.1:7101"}},
   };
   return all;
 }
 
-void require(bool given, const ini_file& file, const std::string& section,
-             const std::string& key, findings& found) {
-  if (!given) found.push_back({{file.name, 0, section, key}, "is missing"});
-}
+// Checks between keys, over what the setters have accepted.
+class settings_checks {
+ public:
+  settings_checks(const ini_file& file, const settings& x, findings& found)
+      : file_{file}, x_{x}, found_{found} {}
+
+  void run() {
+    check_missing();
+    check_roles();
+    check_own_addresses();
+    check_members();
+  }
 
-void check_required(const settings& x, const ini_file& file, findings& found) {
-  require(!x.cluster.empty(), file, "process", "cluster", found);
-  require(!x.domain.value.empty(), file, "process", "failure_domain", found);
-  require(x.is_node || x.is_control, file, "process", "roles", found);
-  require(!x.control_address.value.empty(), file, "process", "control_address",
-          found);
-  require(!x.operator_address.value.empty(), file, "process",
-          "operator_address", found);
-  require(!x.members.empty(), file, "control", "members", found);
-  if (x.is_node) {
-    require(!x.call_address.value.empty(), file, "node", "call_address", found);
+ private:
+  void check_missing() {
+    for (const auto* key : {"cluster", "failure_domain", "roles",
+                            "control_address", "operator_address"}) {
+      require("process", key);
+    }
+    require("control", "members");
+    if (x_.is_node) require("node", "call_address");
+    if (x_.is_control) require("control", "data_folder");
+    if (x_.is_control) require("control", "member_id");
   }
-  if (x.is_control) {
-    require(!x.data_folder.empty(), file, "control", "data_folder", found);
-    require(x.member_id != 0, file, "control", "member_id", found);
+
+  void check_roles() {
+    if (!x_.is_node && !x_.is_control) return;
+    for (const auto* key : {"call_address", "drain_limit"}) {
+      if (!x_.is_node) refuse("node", key, "is only for the role node");
+    }
+    for (const auto* key : {"data_folder", "member_id"}) {
+      if (!x_.is_control) {
+        refuse("control", key, "is only for the role control");
+      }
+    }
+  }
+
+  void check_own_addresses() {
+    auto taken = std::set<vm_address>{};
+    for (const auto& [section, key, address] :
+         {std::tuple{"process", "control_address", x_.control_address},
+          std::tuple{"process", "operator_address", x_.operator_address},
+          std::tuple{"node", "call_address", x_.call_address}}) {
+      if (address.value.empty() || taken.insert(address).second) continue;
+      refuse(section, key, "is also another address of this process");
+    }
+  }
+
+  void check_members() {
+    auto ids = std::set<std::uint64_t>{};
+    auto addresses = std::set<vm_address>{};
+    for (const auto& member : x_.members) {
+      auto id = std::to_string(member.id);
+      if (!ids.insert(member.id).second) {
+        refuse("control", "members", "names the id " + id + " twice");
+      }
+      if (!addresses.insert(member.address).second) {
+        refuse("control", "members",
+               "names the address " + member.address.value + " twice");
+      }
+    }
+    if (x_.is_control && x_.member_id != 0 && !x_.members.empty()) {
+      check_own_member();
+    }
+  }
+
+  void check_own_member() {
+    auto own = std::find_if(
+        x_.members.begin(), x_.members.end(),
+        [&](const control_peer& m) { return m.id == x_.member_id; });
+    if (own == x_.members.end()) {
+      refuse("control", "member_id",
+             "is not among the members: " + std::to_string(x_.member_id));
+    } else if (!x_.control_address.value.empty() &&
+               own->address != x_.control_address) {
+      refuse("control", "members",
+             "gives this member the address " + own->address.value +
+                 ", but its control_address is " + x_.control_address.value);
+    }
+  }
+
+  auto find(const std::string& section, const std::string& key) const
+      -> const ini_entry* {
+    for (const auto& s : file_.sections) {
+      if (s.name != section) continue;
+      for (const auto& e : s.entries) {
+        if (e.key == key) return &e;
+      }
+    }
+    return nullptr;
+  }
+
+  void require(const std::string& section, const std::string& key) {
+    if (find(section, key) != nullptr) return;
+    auto line = std::size_t{0};
+    for (const auto& s : file_.sections) {
+      if (s.name == section) line = s.line;
+    }
+    found_.push_back({{file_.name, line, section, key}, "is missing"});
+  }
+
+  void refuse(const std::string& section, const std::string& key,
+              const std::string& message) {
+    const auto* e = find(section, key);
+    if (e == nullptr) return;
+    found_.push_back({{file_.name, e->line, section, key}, message});
+  }
+
+  const ini_file& file_;
+  const settings& x_;
+  findings& found_;
+};
+
+void set_section(const ini_file& file, const ini_section& section, settings& x,
+                 findings& found) {
+  static const auto known = std::set<std::string>{"process", "node", "control"};
+  if (known.count(section.name) == 0) {
+    found.push_back({{file.name, section.line, section.name, ""},
+                     "is not a known section"});
+    return;
+  }
+  auto seen = std::set<std::string>{};
+  for (const auto& entry : section.entries) {
+    if (!seen.insert(entry.key).second) continue;
+    auto where = place{file.name, entry.line, section.name, entry.key};
+    auto rule = rules().find(section.name + "." + entry.key);
+    if (rule == rules().end()) {
+      found.push_back({where, "is not a known key"});
+    } else if (!rule->second.set(entry.value, x)) {
+      found.push_back(
+          {where, rule->second.requirement + ", not \"" + entry.value + "\""});
+    }
   }
 }
 
 }  // namespace
 
 auto parse_settings(const ini_file& file) -> result<settings> {
-  auto found = findings{};
+  auto found = file.broken;
   auto x = settings{};
   for (const auto& section : file.sections) {
-    for (const auto& entry : section.entries) {
-      auto where = place{file.name, entry.line, section.name, entry.key};
-      auto rule = rules().find(section.name + "." + entry.key);
-      if (rule == rules().end()) {
-        found.push_back({where, "is not a known key"});
-      } else if (!rule->second.set(entry.value, x)) {
-        found.push_back({where, rule->second.requirement + ", not \"" +
-                                    entry.value + "\""});
-      }
-    }
+    set_section(file, section, x, found);
   }
-  if (found.empty()) check_required(x, file, found);
-  if (!found.empty()) return found;
-  return x;
+  settings_checks{file, x, found}.run();
+  if (found.empty()) return x;
+  sort_by_line(found);
+  return found;
+}
+
+auto parse_settings(const std::string& name, const std::string& text)
+    -> result<settings> {
+  return parse_settings(read_ini(name, text));
 }
 
 }  // namespace figwind
--- a/test/settings-test.cc
+++ b/test/settings-test.cc
@@ -9,40 +9,128 @@
 
 namespace {
 
-auto parse(const std::string& text) -> result<settings> {
-  return parse_settings(value(parse_ini("node.ini", text)));
-}
-
-constexpr auto node_text = R"([process]
+constexpr auto process_text = R"([process]
 cluster = sprijin
 failure_domain = ro-centru-a
-roles = node
-control_address = 127.0.0.1:7101
+roles = node, control
+control_address = 127.0.0.1:7001
 operator_address = 127.0.0.1:7301
-[node]
+)";
+constexpr auto node_text = R"([node]
 call_address = 127.0.0.1:7201
-[control]
+)";
+constexpr auto control_text = R"([control]
+data_folder = run/data
+member_id = 1
 members = 1@127.0.0.1:7001, 2@127.0.0.1:7002
 )";
 
+auto full_text() -> std::string {
+  return std::string{process_text} + node_text + control_text;
+}
+
+/// The full text with one line replaced, so that line numbers stay.
+auto with_line(std::size_t number, const std::string& line) -> std::string {
+  auto text = full_text();
+  auto begin = std::size_t{0};
+  for (std::size_t i = 1; i < number; ++i) begin = text.find('\n', begin) + 1;
+  return text.replace(begin, text.find('\n', begin) - begin, line);
+}
+
+struct fault {
+  std::size_t line;
+  std::string text;
+  std::string message;
+};
+
 }  // namespace
 
 // Guards against a settings file that is accepted in part.
-TEST(settings, are_filled_or_refused_as_a_whole) {
-  section("given a complete file of a node", [] {
-    auto parsed = parse(node_text);
-    ASSERT_TRUE(ok(parsed)) << to_string(errors(parsed));
-    EXPECT_EQ(value(parsed).cluster, "sprijin");
-    EXPECT_EQ(value(parsed).members.size(), 2U);
-    EXPECT_TRUE(value(parsed).is_node);
+TEST(settings, are_filled_from_a_complete_file) {
+  auto parsed = parse_settings("node.ini", full_text());
+  ASSERT_TRUE(ok(parsed)) << to_string(errors(parsed));
+  EXPECT_EQ(value(parsed).cluster, "sprijin");
+  EXPECT_TRUE(value(parsed).is_node);
+  EXPECT_TRUE(value(parsed).is_control);
+  EXPECT_EQ(value(parsed).members.size(), 2U);
+}
+
+// Guards against a process that starts with a value that cannot work.
+TEST(settings, refuse_each_fault_with_its_line_and_reason) {
+  const auto faults = std::vector<fault>{
+      {2, "cluster = two words", "must be a name"},
+      {2, "cluster = sprijin\ncluster = other", "is given twice"},
+      {3, "failure_domain = a.b", "must be a name"},
+      {4, "roles = leader", "must be node, control"},
+      {5, "control_address = 127.0.0.1", "must be an IP number and a port"},
+      {5, "control_address = 300.0.0.1:80", "must be an IP number and a port"},
+      {5, "control_address = vm-1:7001", "must be an IP number and a port"},
+      {6, "operator_address = 127.0.0.1:0", "must be an IP number and a port"},
+      {6, "operator_address = 127.0.0.1:7001", "is also another address"},
+      {6, "weight = 3", "is not a known key"},
+      {6, "a line without meaning", "is neither a section"},
+      {7, "[nodes]", "is not a known section"},
+      {7, "[node", "is not a complete section name"},
+      {7, "[process]", "is given twice, first on line 1"},
+      {8, "drain_limit = 10", "must be a duration"},
+      {8, "drain_limit = 0 s", "must be a duration above 0"},
+      {8, "drain_limit = 2000 min", "up to 1440 min"},
+      {8, "drain_limit = -5 min", "must be a duration above 0"},
+      {11, "member_id = 1.5", "must be a whole number"},
+      {11, "member_id = 3", "is not among the members: 3"},
+      {12, "members = 1@127.0.0.1:7001, 1@127.0.0.1:7002", "the id 1 twice"},
+      {12, "members = 1@127.0.0.1:7001, 2@127.0.0.1:7001", "7001 twice"},
+      {12, "members = 1@127.0.0.1:7009", "but its control_address is"},
+      {12, "members = 127.0.0.1:7001", "must be a list"},
+      {12, "members = " + std::string(200, '1'), "is longer than 198 bytes"},
+  };
+  for (const auto& x : faults) {
+    section(x.text, [&] {
+      auto found =
+          errors(parse_settings("node.ini", with_line(x.line, x.text)));
+      auto all = to_string(found);
+      EXPECT_NE(all.find(x.message), std::string::npos) << all;
+      auto extra = x.text.find('\n') == std::string::npos ? 0U : 1U;
+      auto at = "node.ini:" + std::to_string(x.line + extra) + ": ";
+      EXPECT_NE(all.find(at), std::string::npos) << all;
+    });
+  }
+}
+
+// Guards against keys of a role that the process does not have, and against a
+// role that lacks its keys.
+TEST(settings, must_fit_the_roles) {
+  section("given a control member with the keys of a node", [] {
+    auto found =
+        errors(parse_settings("c.ini", with_line(4, "roles = control")));
+    ASSERT_EQ(found.size(), 1U) << to_string(found);
+    EXPECT_EQ(found[0].where, (place{"c.ini", 8, "node", "call_address"}));
   });
-  section("given two faults", [] {
-    auto parsed = parse(std::string{node_text} +
-                        "[node]\ncall_address = host:80\nweight = 3\n");
-    section("both are reported with their lines", [&] {
-      ASSERT_EQ(errors(parsed).size(), 2U);
-      EXPECT_EQ(errors(parsed)[0].where.line, 12U);
-      EXPECT_EQ(errors(parsed)[1].where.line, 13U);
+  section("given a node without its section", [] {
+    auto text = std::string{process_text} + control_text;
+    auto found = errors(parse_settings("c.ini", text));
+    ASSERT_EQ(found.size(), 1U) << to_string(found);
+    EXPECT_EQ(found[0].where, (place{"c.ini", 0, "node", "call_address"}));
+  });
+}
+
+// Guards against operators who correct one fault at a time.
+TEST(settings, report_all_findings_together) {
+  section("given two faulty values after a section given twice", [] {
+    auto parsed = parse_settings(
+        "node.ini",
+        full_text() + "[node]\ncall_address = host:80\nweight = 3\n");
+    section("the section and both values are reported with their lines", [&] {
+      auto found = errors(parsed);
+      ASSERT_EQ(found.size(), 3U) << to_string(found);
+      EXPECT_EQ(found[0].where.line, 13U);
+      EXPECT_EQ(found[1].where.line, 14U);
+      EXPECT_EQ(found[2].where.line, 15U);
     });
   });
+  section("given an empty file", [] {
+    auto found = errors(parse_settings("node.ini", ""));
+    section("every required key is missing",
+            [&] { EXPECT_EQ(found.size(), 6U) << to_string(found); });
+  });
 }
