--- a/src/adapters/log.cc
+++ b/src/adapters/log.cc
@@ -8,6 +8,10 @@
 
 #include <chrono>
 #include <memory>
+#include <mutex>
+#include <optional>
+
+#include "figwind/log_limit.h"
 
 namespace figwind {
 namespace {
@@ -23,13 +27,27 @@
   return duration_cast<std::chrono::milliseconds>(since_epoch).count();
 }
 
+auto admit(const std::string& event) -> std::optional<std::uint64_t> {
+  static auto mutex = std::mutex{};
+  static auto limiter = log_limiter{};
+  using std::chrono::steady_clock;
+  using ms = std::chrono::duration<double, std::milli>;
+  auto lock = std::lock_guard{mutex};
+  // The clock is read under the lock because the limiter needs it in order.
+  auto now = ms{steady_clock::now().time_since_epoch()}.count();
+  return limiter.admit(event, {now});
+}
+
 void write(log4cplus::LogLevel level, const char* level_name,
            const std::string& event, const log_fields& fields) {
+  auto suppressed = admit(event);
+  if (!suppressed) return;
   auto line = log_fields{{"time_ms", now_ms()},
                          {"level", level_name},
                          {"process", process_name()},
                          {"event", event}};
-  line.update(fields);
+  if (*suppressed > 0) line["suppressed"] = *suppressed;
+  if (fields.is_object()) line.update(fields);
   auto logger = log4cplus::Logger::getInstance("figwind");
   auto text = line.dump(-1, ' ', false, log_fields::error_handler_t::replace);
   logger.log(level, text);
--- /dev/null
+++ b/src/decisions/log_limit.cc
@@ -0,0 +1,26 @@
+#include "figwind/log_limit.h"
+
+#include <utility>
+
+namespace figwind {
+
+auto log_limiter::admit(const std::string& event, time_point now)
+    -> std::optional<std::uint64_t> {
+  static const auto others = std::string{};
+  auto is_known = events_.count(event) != 0 || events_.size() < limits_.names;
+  auto [entry, added] =
+      events_.try_emplace(is_known ? event : others, event_state{now});
+  auto& state = entry->second;
+  if (now - state.window_start >= limits_.window) {
+    state.window_start = now;
+    state.written = 0;
+  }
+  if (state.written >= limits_.lines) {
+    ++state.suppressed;
+    return std::nullopt;
+  }
+  ++state.written;
+  return std::exchange(state.suppressed, 0);
+}
+
+}  // namespace figwind
--- /dev/null
+++ b/test/log-limit-test.cc
@@ -0,0 +1,39 @@
+#include "figwind/log_limit.h"
+
+#include <gtest/gtest.h>
+
+#include "section.h"
+
+using namespace figwind;
+using figwind::test::section;
+
+// Guards against a repeated fault that fills the log, and against suppressed
+// lines that nobody learns of.
+TEST(log_limit, counts_what_it_suppresses) {
+  auto limiter = log_limiter{{2, seconds(10), 8}};
+  auto at = [](double s) { return time_point{} + seconds(s); };
+  section("given two lines in a window", [&] {
+    EXPECT_EQ(limiter.admit("refused", at(0)), 0U);
+    EXPECT_EQ(limiter.admit("refused", at(1)), 0U);
+    section("further lines of that event are suppressed", [&] {
+      EXPECT_EQ(limiter.admit("refused", at(2)), std::nullopt);
+      EXPECT_EQ(limiter.admit("refused", at(9.9)), std::nullopt);
+    });
+    section("other events are still written",
+            [&] { EXPECT_EQ(limiter.admit("joined", at(2)), 0U); });
+    section("the first line of the next window tells how many", [&] {
+      EXPECT_EQ(limiter.admit("refused", at(10)), 2U);
+      EXPECT_EQ(limiter.admit("refused", at(11)), 0U);
+    });
+  });
+}
+
+// Guards against memory that grows with names that come from outside.
+TEST(log_limit, bounds_the_names_it_tells_apart) {
+  auto limiter = log_limiter{{1, seconds(10), 2}};
+  EXPECT_EQ(limiter.admit("a", {}), 0U);
+  EXPECT_EQ(limiter.admit("b", {}), 0U);
+  EXPECT_EQ(limiter.admit("c", {}), 0U);
+  EXPECT_EQ(limiter.admit("d", {}), std::nullopt);
+  EXPECT_EQ(limiter.admit("a", {}), std::nullopt);
+}
