--- a/include/figwind/burn.h
+++ b/include/figwind/burn.h
@@ -26,11 +26,11 @@
 struct burn_event {
   call_status status = call_status::complete;
   /// From the arrival of the request to the end of its response.
-  duration latency;
+  duration latency{};
   /// Why it was refused; `none` unless the status is `not_run`.
   refusal reason = refusal::none;
   /// The service that caused the refusal.
-  service_name service;
+  service_name service{};
   /// Extra attempts made over the whole call chain, and the bound on them.
   std::uint64_t retries = 0;
   std::uint64_t retry_bound = 0;
--- a/src/adapters/metrics.h
+++ b/src/adapters/metrics.h
@@ -35,6 +35,8 @@
   metrics(const std::string& cluster, const failure_domain& domain);
   metrics(const metrics&) = delete;
   auto operator=(const metrics&) -> metrics& = delete;
+  metrics(metrics&&) = delete;
+  auto operator=(metrics&&) -> metrics& = delete;
   ~metrics();
 
   /// Sets the known classes and services; call it when a configuration comes
--- a/src/adapters/token.cc
+++ b/src/adapters/token.cc
@@ -20,6 +20,8 @@
       : descriptor_{::open(path.c_str(), O_RDONLY | O_CLOEXEC)} {}
   open_file(const open_file&) = delete;
   auto operator=(const open_file&) -> open_file& = delete;
+  open_file(open_file&&) = delete;
+  auto operator=(open_file&&) -> open_file& = delete;
   ~open_file() {
     if (descriptor_ >= 0) ::close(descriptor_);
   }
--- /dev/null
+++ b/test/burn-test.cc
@@ -0,0 +1,182 @@
+#include "figwind/burn.h"
+
+#include <gtest/gtest.h>
+
+#include <cmath>
+
+#include "figwind/random.h"
+#include "section.h"
+
+using namespace figwind;
+using figwind::test::section;
+
+namespace {
+
+const auto refund = call_class{{"deposit-refund"}, {"contracte"}, false,
+                               seconds(1),         {0.999},       1};
+const auto noon = time_point{1.8e12};
+
+auto complete(double ms) -> burn_event {
+  return {call_status::complete, milliseconds(ms)};
+}
+
+auto refused(refusal reason, const std::string& service) -> burn_event {
+  return {call_status::not_run, {}, reason, {service}};
+}
+
+void repeat(node_burn& to, int count, const burn_event& event, time_point at) {
+  for (auto i = 0; i < count; ++i) record(to, refund, event, at);
+}
+
+auto id(int port) -> node_id {
+  return {{"10.0.0.1:" + std::to_string(port)}, {1}};
+}
+
+auto evaluate_one(const node_burn& node, time_point now) -> class_report {
+  auto set = burn_set{};
+  set.nodes[id(1)] = node;
+  return evaluate(set, {{refund}}, now).front();
+}
+
+/// Counts of a node that random requests give over two days.
+auto random_node(random_source& random) -> node_burn {
+  auto node = node_burn{};
+  for (auto i = 0; i < 200; ++i) {
+    auto at = noon + minutes(random.unit() * 2 * 24 * 60);
+    auto event = complete(random.unit() * 2000);
+    if (random.chance(0.3)) event = refused(refusal::overload, "contracte");
+    event.retries = random.index(3);
+    event.retry_bound = 2;
+    record(node, refund, event, at);
+  }
+  return node;
+}
+
+}  // namespace
+
+// Guards against requests that are counted as met although the caller got
+// nothing in time, and against budgets spent by what callers did wrong.
+TEST(burn, counts_each_outcome_once) {
+  auto node = node_burn{};
+  record(node, refund, complete(1000), noon);
+  record(node, refund, complete(1000.1), noon);
+  record(node, refund, {call_status::failed}, noon);
+  record(node, refund, {call_status::unknown}, noon);
+  record(node, refund, refused(refusal::overload, "contracte"), noon);
+  record(node, refund, refused(refusal::bad_key, "contracte"), noon);
+  auto x = evaluate_one(node, noon).in_short;
+  EXPECT_EQ(x.requests, 5U);
+  EXPECT_EQ(x.counts.met, 1U);
+  EXPECT_EQ(x.counts.late, 1U);
+  EXPECT_DOUBLE_EQ(x.share_met, 0.2);
+  EXPECT_NEAR(x.burn_rate, 800, 1e-6);
+  EXPECT_EQ(x.counts.refusals.size(), 2U);
+}
+
+// Guards against alarms for a short burst, and against a missed fast burn.
+TEST(burn, raises_the_fast_alarm_when_both_windows_burn) {
+  struct row {
+    std::string name;
+    int failed_hour_ago;
+    int failed_now;
+    burn_alarm alarm;
+  };
+  for (const auto& x : std::vector<row>{
+           {"nothing failed", 0, 0, burn_alarm::none},
+           {"a burst that ended before the short window", 200, 0,
+            burn_alarm::slow},
+           {"a burst too small for the long window", 0, 10, burn_alarm::slow},
+           {"both windows burn", 200, 50, burn_alarm::fast},
+       }) {
+    section(x.name, [&] {
+      auto node = node_burn{};
+      auto before = noon - minutes(40);
+      repeat(node, 9000 - x.failed_hour_ago, complete(5), before);
+      repeat(node, x.failed_hour_ago, {call_status::failed}, before);
+      repeat(node, 1000 - x.failed_now, complete(5), noon);
+      repeat(node, x.failed_now, {call_status::failed}, noon);
+      EXPECT_EQ(evaluate_one(node, noon).alarm, x.alarm);
+    });
+  }
+}
+
+// Guards against a time to exhaustion that ignores what is already spent.
+TEST(burn, tells_when_the_allowed_failures_run_out) {
+  section("given 30 days at twice the allowed rate for the last 10", [] {
+    auto node = node_burn{};
+    for (auto slot = 119; slot >= 0; --slot) {
+      auto at = noon - burn_quarter_slot * slot;
+      repeat(node, 1000, complete(5), at);
+      if (slot < 40) repeat(node, 2, {call_status::failed}, at);
+    }
+    auto x = evaluate_one(node, noon);
+    EXPECT_NEAR(x.budget_left, 1.0 / 3, 0.02);
+    EXPECT_NEAR(x.exhausted_in.ms / minutes(24 * 60).ms, 5, 0.3);
+  });
+  section("given no failure", [] {
+    auto node = node_burn{};
+    repeat(node, 10, complete(5), noon);
+    EXPECT_TRUE(std::isinf(evaluate_one(node, noon).exhausted_in.ms));
+  });
+  section("given nothing at all", [] {
+    auto x = evaluate_one({}, noon);
+    EXPECT_EQ(x.in_period.requests, 0U);
+    EXPECT_DOUBLE_EQ(x.budget_left, 1);
+  });
+}
+
+// Guards against counts that depend on the order or number of reports.
+TEST(burn, merges_in_any_order_and_any_number_of_times) {
+  auto random = random_source{7};
+  for (auto round = 0; round < 20; ++round) {
+    auto a = burn_set{};
+    auto b = burn_set{};
+    auto shared = random_node(random);
+    a.nodes[id(1)] = random_node(random);
+    a.nodes[id(2)] = shared;
+    b.nodes[id(3)] = random_node(random);
+    b.nodes[id(2)] = shared;
+    record(b.nodes[id(2)], refund, complete(7), noon + minutes(3000));
+    auto once = merge(a, b);
+    EXPECT_EQ(once, merge(b, a));
+    EXPECT_EQ(once, merge(once, a));
+    EXPECT_EQ(once, merge(merge(b, once), b));
+    EXPECT_EQ(once.nodes[id(2)].classes.at(refund.name).quarters,
+              b.nodes[id(2)].classes.at(refund.name).quarters);
+  }
+}
+
+// Guards against memory that grows with the age of a node or with names.
+TEST(burn, keeps_a_bounded_number_of_slots_and_causes) {
+  auto node = node_burn{};
+  for (auto hour = 0; hour < 40 * 24; ++hour) {
+    record(node, refund, complete(5), noon + minutes(60.0 * hour));
+  }
+  auto now = noon + minutes(60.0 * 40 * 24);
+  for (auto i = 0; i < 100; ++i) {
+    record(node, refund, refused(refusal::overload, "s" + std::to_string(i)),
+           now);
+  }
+  const auto& x = node.classes.at(refund.name);
+  EXPECT_LE(x.minutes.size(), 5U);
+  EXPECT_LE(x.fives.size(), 12U);
+  EXPECT_LE(x.quarters.size(), 120U);
+  const auto& causes = x.minutes.rbegin()->second.refusals;
+  EXPECT_EQ(causes.size(), max_refusal_causes + 1);
+  EXPECT_EQ(causes.at({refusal::overload, {"other"}}), 68U);
+  section("and a set drops nodes that were silent for the period", [&] {
+    auto set = burn_set{{{id(1), node}}};
+    trim(set, now + burn_period + burn_quarter_slot);
+    EXPECT_TRUE(set.nodes.empty());
+  });
+}
+
+// Guards against quantiles of the wrong bucket.
+TEST(burn, reports_quantiles_as_upper_bounds) {
+  auto node = node_burn{};
+  repeat(node, 98, complete(4), noon);
+  repeat(node, 2, complete(800), noon);
+  auto x = evaluate_one(node, noon).in_long;
+  EXPECT_DOUBLE_EQ(x.p50.ms, 5);
+  EXPECT_DOUBLE_EQ(x.p99.ms, 1000);
+}
