--- a/src/adapters/cli.cc
+++ b/src/adapters/cli.cc
@@ -167,11 +167,18 @@
   return text;
 }
 
+/// The first sentence of the summary on one line.
+auto headline(const command& x) -> std::string {
+  auto text = x.summary.substr(0, x.summary.find('.'));
+  std::replace(text.begin(), text.end(), '\n', ' ');
+  return text;
+}
+
 auto overview() -> std::string {
   auto text = std::string{"figwind: operates figwind's processes\n\nCommands:"};
   for (const auto& x : commands()) {
     text += "\n  " + usage_line(x);
-    text += "\n      " + x.summary.substr(0, x.summary.find_first_of("\n."));
+    text += "\n      " + headline(x);
   }
   return text + "\n\nEach command has --help with an example.\n" + exit_codes;
 }
--- a/src/adapters/cli_change.cc
+++ b/src/adapters/cli_change.cc
@@ -34,7 +34,9 @@
                     node);
   };
   if (const auto* none = std::get_if<no_answer>(&got)) {
-    return unknown(none->reason);
+    if (none->may_have_arrived) return unknown(none->reason);
+    return fail(cx, outcome::unknown,
+                node + ": " + none->reason + "; nothing was sent");
   }
   const auto& answer = std::get<http_answer>(got);
   if (answer.status >= 500 && answer.status != 503) {
@@ -225,6 +227,9 @@
   if (!parse_name(name)) {
     return fail(cx, outcome::usage, "\"" + name + "\" is not a class name");
   }
+  if (!is_header_text(cx.given.key)) {
+    return fail(cx, outcome::usage, "--key holds a control character");
+  }
   auto body = read_body(cx);
   if (!ok(body)) return fail(cx, errors(body));
   auto headers = std::map<std::string, std::string>{};
--- a/src/adapters/cli_client.cc
+++ b/src/adapters/cli_client.cc
@@ -13,13 +13,7 @@
 
 constexpr auto max_answer_bytes = std::size_t{64} << 20U;
 
-auto is_header_text(const std::string& text) -> bool {
-  return std::all_of(text.begin(), text.end(),
-                     [](unsigned char c) { return c >= 0x20 && c != 0x7f; });
-}
-
-/// `ip:port` as the URL that the library takes; it does not take IPv6 numbers
-/// in brackets as a separate host.
+// The URL form is used because it alone takes IPv6 numbers in brackets.
 auto make_client(const vm_address& address, duration timeout)
     -> std::unique_ptr<httplib::Client> {
   auto client = std::make_unique<httplib::Client>("http://" + address.value);
@@ -58,9 +52,6 @@
   }
   auto headers = httplib::Headers{};
   for (const auto& [name, text] : request.headers) {
-    if (!is_header_text(text)) {
-      return no_answer{false, name + " holds a control character"};
-    }
     headers.emplace(name, text);
   }
   auto client = make_client(request.address, timeout);
--- a/src/adapters/cli_client.h
+++ b/src/adapters/cli_client.h
@@ -11,7 +11,8 @@
 
 namespace figwind::cli {
 
-/// A request; `method` is GET or POST.
+/// A request; `method` is GET or POST. Header values must not hold control
+/// characters.
 struct http_request {
   std::string method = "GET";
   vm_address address;
--- a/src/adapters/cli_commands.cc
+++ b/src/adapters/cli_commands.cc
@@ -1,6 +1,7 @@
 #include "adapters/cli_commands.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "adapters/token.h"
@@ -121,6 +122,13 @@
       {"Authorization", "Bearer " + value(token)}};
 }
 
+auto is_header_text(const std::string& text) -> bool {
+  constexpr auto max_bytes = std::size_t{256};
+  return text.size() <= max_bytes &&
+         std::all_of(text.begin(), text.end(),
+                     [](unsigned char c) { return c >= 0x20 && c != 0x7f; });
+}
+
 auto servers_flag(const context& cx) -> std::string {
   auto text = std::string{"--servers "};
   for (const auto& address : cx.given.servers) {
--- a/src/adapters/cli_commands.h
+++ b/src/adapters/cli_commands.h
@@ -67,6 +67,10 @@
 auto authorization(const context& cx)
     -> result<std::map<std::string, std::string>>;
 
+/// True when `text` can be the value of a header: no control characters, at
+/// most 256 bytes.
+auto is_header_text(const std::string& text) -> bool;
+
 /// The --servers flag for a hint.
 auto servers_flag(const context& cx) -> std::string;
 
--- a/src/adapters/cli_config.cc
+++ b/src/adapters/cli_config.cc
@@ -268,6 +268,9 @@
   if (!is_request(request)) {
     return fail(cx, outcome::usage, "--request takes 32 hex digits");
   }
+  if (cx.given.author.empty() || !is_header_text(cx.given.author)) {
+    return fail(cx, outcome::usage, "--author takes a name");
+  }
   auto base = read_base(cx);
   if (!base) return outcome::unknown;
   if (!cx.given.json) {
--- a/src/adapters/token.cc
+++ b/src/adapters/token.cc
@@ -5,6 +5,7 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
@@ -58,6 +59,10 @@
   auto text = std::string{buffer.data(), static_cast<std::size_t>(size)};
   auto token = text.substr(0, text.find_first_of("\r\n"));
   if (token.empty()) return refuse(path, "holds no token");
+  if (!std::all_of(token.begin(), token.end(),
+                   [](char c) { return c > ' ' && c <= '~'; })) {
+    return refuse(path, "holds a token with other signs than printable ASCII");
+  }
   if (token.size() > max_token_bytes) {
     return refuse(path, "holds a token above 512 bytes");
   }
--- a/src/adapters/token.h
+++ b/src/adapters/token.h
@@ -9,7 +9,8 @@
 namespace figwind {
 
 /// Reads the first line of a token file. A file that others than its owner can
-/// read or write, an empty token and one above 512 bytes are refused.
+/// read or write, an empty token, one above 512 bytes and one with spaces or
+/// signs outside printable ASCII are refused.
 auto read_token(const std::string& path) -> result<std::string>;
 
 /// True when `header` is `Bearer TOKEN` with the expected token. Takes the same
--- a/src/programs/figwind.cc
+++ b/src/programs/figwind.cc
@@ -22,10 +22,10 @@
 DEFINE_string(body, "", "body of a call; @FILE takes it from a file");
 DECLARE_bool(help);
 
-namespace gflags {
-// Exported by the library for its tests; a wrong flag must exit with 2.
+namespace google {
+// Exported by the library without a header; a wrong flag must exit with 2.
 extern void (*gflags_exitfunc)(int);
-}  // namespace gflags
+}  // namespace google
 
 namespace {
 
@@ -91,7 +91,7 @@
 }  // namespace
 
 auto main(int argc, char** argv) -> int {
-  gflags::gflags_exitfunc = [](int) { std::exit(2); };
+  google::gflags_exitfunc = [](int) { std::exit(2); };
   constexpr auto remove_flags = true;
   gflags::ParseCommandLineNonHelpFlags(&argc, &argv, remove_flags);
   auto given = cli::options{};
--- a/test/adapter-token-test.cc
+++ b/test/adapter-token-test.cc
@@ -36,8 +36,8 @@
     fs::permissions(path, owner_only | open_to);
     EXPECT_FALSE(ok(read_token(path)));
   }
-  for (const auto& text :
-       {std::string{}, std::string{"\nsecret"}, std::string(600, 'x')}) {
+  for (const auto& text : {std::string{}, std::string{"\nsecret"},
+                           std::string{"two words"}, std::string(600, 'x')}) {
     EXPECT_FALSE(ok(read_token(write_token(text, owner_only)))) << text;
   }
   fs::remove(path);
