--- /dev/null
+++ b/src/adapters/clock.h
@@ -0,0 +1,32 @@
+// The machine's clocks as the time type of the decisions.
+
+#pragma once
+
+#include <chrono>
+
+#include "figwind/units.h"
+
+namespace figwind {
+
+namespace detail {
+
+template <class Clock>
+auto read_clock() -> time_point {
+  using fractional_ms = std::chrono::duration<double, std::milli>;
+  auto since = Clock::now().time_since_epoch();
+  return {std::chrono::duration_cast<fractional_ms>(since).count()};
+}
+
+}  // namespace detail
+
+/// Monotonic time, for decisions.
+inline auto steady_now() -> time_point {
+  return detail::read_clock<std::chrono::steady_clock>();
+}
+
+/// Unix time, for birth times of keys.
+inline auto wall_now() -> time_point {
+  return detail::read_clock<std::chrono::system_clock>();
+}
+
+}  // namespace figwind
