--- /dev/null
+++ b/include/figwind/run_queue.h
@@ -0,0 +1,186 @@
+// The queue in front of one backend server.
+//
+// Order of calls by the daemon:
+//   1. `arrive` for each call; start it, hold it or refuse it as told.
+//   2. `finish` when a started call has ended, whatever its outcome.
+//   3. `tick` after each `finish` and at least every 5 ms: start and refuse
+//      what it lists.
+//   4. `threshold` on each answer, as a `threshold_report`.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "figwind/admission.h"
+#include "figwind/call.h"
+#include "figwind/limiter.h"
+#include "figwind/slot_split.h"
+
+namespace figwind {
+
+/// Identity of one call at one queue. A request may call the same server more
+/// than once, so the request id alone does not identify the call.
+using call_ticket = strong<struct call_ticket_tag, std::uint64_t>;
+
+/// Settings of a run queue.
+struct run_queue_options {
+  threshold_options threshold;
+  limiter_options limit;
+  split_options split;
+  /// Longest queue, as time that the server needs to work it off. What is
+  /// beyond it is evicted, least important first.
+  duration longest_wait = milliseconds(60);
+};
+
+enum class arrival_verdict : std::uint8_t { start, queued, refused };
+
+/// What becomes of an arriving call.
+struct arrival {
+  arrival_verdict verdict = arrival_verdict::refused;
+  /// Set when the verdict is `refused`; the call has not run.
+  refusal reason = refusal::none;
+  /// Set unless refused.
+  call_ticket ticket;
+};
+
+/// How a started call ended.
+struct run_outcome {
+  call_status status = call_status::complete;
+  /// Time that the call spent waiting for calls to other services.
+  duration downstream;
+};
+
+/// A queued call that is refused; it has not run.
+struct refused_call {
+  call_ticket ticket;
+  refusal reason = refusal::none;
+};
+
+/// What is to be done now.
+struct queue_actions {
+  std::vector<call_ticket> start;
+  std::vector<refused_call> refused;
+};
+
+/// Calls of one cancelled request.
+struct cancelled_calls {
+  /// Were queued; removed, never run.
+  std::vector<call_ticket> removed;
+  /// Are running; the backend server is to be told, and `finish` follows.
+  std::vector<call_ticket> running;
+};
+
+/// The queue of one backend server. Each operation takes O(log n) time.
+class run_queue {
+ public:
+  /// `slots` is what the server declares, at least 1. A `cold` server gets its
+  /// slots step by step.
+  run_queue(const run_queue_options& options, int slots, bool cold,
+            time_point now);
+
+  /// Takes a call that has reached the server node.
+  auto arrive(const call_context& call, time_point now) -> arrival;
+
+  /// Takes the end of a started call. Unknown tickets are ignored.
+  void finish(call_ticket ticket, time_point now, const run_outcome& outcome);
+
+  /// Removes the queued calls of a request whose caller has gone.
+  auto cancel(const request_id& id, time_point now) -> cancelled_calls;
+
+  /// Lists which queued calls start now and which are refused now. A listed
+  /// call counts as started or is forgotten.
+  auto tick(time_point now) -> queue_actions;
+
+  /// From now on refuses arrivals with `refusal::draining`; queued and running
+  /// calls go on.
+  void begin_drain();
+
+  /// True when draining and nothing is queued or running.
+  [[nodiscard]] auto drained() const -> bool;
+
+  /// Threshold to be sent upstream.
+  [[nodiscard]] auto threshold() const -> admission_level;
+
+  /// Calls that run.
+  [[nodiscard]] auto in_flight() const -> int;
+
+  /// Calls that wait.
+  [[nodiscard]] auto queued() const -> int;
+
+  /// Calls that may run at once.
+  [[nodiscard]] auto limit(time_point now) const -> int;
+
+  /// Time that a new call of `importance` is expected to wait.
+  [[nodiscard]] auto expected_wait(int importance, time_point now) const
+      -> duration;
+
+  /// Changes the declared slots of the server.
+  void set_slots(int slots);
+
+ private:
+  struct order_key {
+    int importance = 0;
+    int shallowness = 0;
+    double deadline_ms = 0;
+    std::uint64_t ticket = 0;
+
+    friend auto operator<=>(const order_key&, const order_key&) = default;
+  };
+
+  struct entry {
+    call_context call;
+    time_point started;
+    time_point deadline;
+    double latest_start_ms = 0;
+    admission_level level;
+    work_kind kind = work_kind::caller_facing;
+    bool running = false;
+  };
+
+  using entries = std::unordered_map<std::uint64_t, entry>;
+  using level_index = std::set<std::pair<admission_level, std::uint64_t>>;
+  using time_index = std::set<std::pair<double, std::uint64_t>>;
+
+  [[nodiscard]] auto key_of(std::uint64_t ticket, const entry& x) const
+      -> order_key;
+  [[nodiscard]] auto least_time(const class_name& name, time_point now) const
+      -> duration;
+  [[nodiscard]] auto may_start(work_kind kind, time_point now) const -> bool;
+  [[nodiscard]] auto capacity(time_point now) const -> double;
+  [[nodiscard]] auto longest_queue(time_point now) const -> int;
+  void start(std::uint64_t ticket, entry& x, time_point now);
+  void enqueue(std::uint64_t ticket, entry& x);
+  void dequeue(std::uint64_t ticket, const entry& x);
+  void forget(std::uint64_t ticket);
+  void refuse_queued(std::uint64_t ticket, refusal reason);
+  void drop_stale(time_point now);
+  void evict_excess(time_point now);
+  void start_waiting(time_point now, queue_actions& actions);
+  void update_threshold(time_point now);
+
+  run_queue_options options_;
+  threshold_control threshold_;
+  limiter limiter_;
+  slot_split split_;
+  bool draining_ = false;
+
+  entries calls_;
+  std::unordered_multimap<request_id, std::uint64_t> by_request_;
+  std::array<std::set<order_key>, work_kinds> waiting_;
+  level_index by_level_;
+  time_index by_latest_start_;
+  std::map<int, int> waiting_by_importance_;
+  std::vector<refused_call> pending_refusals_;
+
+  std::unordered_map<class_name, time_estimate> held_;
+  time_estimate mean_held_{0.02};
+  kind_counts running_{};
+  kind_counts queued_{};
+  std::uint64_t last_ticket_ = 0;
+};
+
+}  // namespace figwind
--- /dev/null
+++ b/include/figwind/slot_split.h
@@ -0,0 +1,102 @@
+// Slots of one backend server, split between kinds of work.
+
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <unordered_map>
+
+#include "figwind/call.h"
+#include "figwind/ids.h"
+#include "figwind/service_time.h"
+#include "figwind/units.h"
+
+namespace figwind {
+
+/// Kinds of work that are kept from slowing each other.
+enum class work_kind : std::uint8_t {
+  /// Short calls of callers.
+  caller_facing,
+  /// Short calls between services.
+  internal,
+  /// Calls whose observed service time is many times that of short work.
+  long_running,
+};
+
+constexpr std::size_t work_kinds = 3;
+
+/// Settings of the split.
+struct split_options {
+  /// A class is long when its mean service time is at least this many times
+  /// the mean of the next shorter class.
+  double long_ratio = 8;
+  /// Slots beyond the mean demand that are kept for short work, in square
+  /// roots of that demand (square-root staffing, Halfin and Whitt 1981).
+  double headroom = 3;
+  /// The same for caller-facing work against internal work. Less is enough
+  /// because internal calls give their slots back soon.
+  double internal_headroom = 0.5;
+  /// Share of the slots, at least one, that waiting work of each kind gets.
+  fraction guaranteed{0.05};
+  /// Time constant with which demand estimates rise and fall.
+  duration rise = milliseconds(200);
+  duration fall = seconds(5);
+};
+
+/// Counts of one kind.
+using kind_counts = std::array<int, work_kinds>;
+
+/// Decides which kind of work may take the next slot.
+class slot_split {
+ public:
+  explicit slot_split(const split_options& options, time_point now = {});
+
+  /// Kind of a call. A class without observed service time counts as long
+  /// until its first completion.
+  [[nodiscard]] auto kind_of(const call_context& call) const -> work_kind;
+
+  /// Counts an admitted arrival; demand is arrivals times time in the slot.
+  void count_arrival(work_kind kind, time_point now);
+
+  /// Takes the time for which a finished call held its slot.
+  void observe(const class_name& name, work_kind kind, duration held,
+               time_point now);
+
+  /// True when work of `kind` may take one more of `limit` slots.
+  [[nodiscard]] auto may_start(work_kind kind, int limit,
+                               const kind_counts& running,
+                               const kind_counts& waiting) const -> bool;
+
+  /// Slots that `kind` may hold of `limit`.
+  [[nodiscard]] auto share(work_kind kind, int limit) const -> int;
+
+  /// Mean time in the slot of the kind; 0 before the first completion.
+  [[nodiscard]] auto mean_held(work_kind kind, time_point now) const
+      -> duration;
+
+ private:
+  struct class_time {
+    time_estimate held;
+    bool is_long = false;
+  };
+
+  struct kind_demand {
+    int arrivals = 0;
+    double per_ms = 0;
+    double mean_ms = 0;
+    time_estimate held;
+  };
+
+  void classify(time_point now);
+  void update(time_point now);
+  [[nodiscard]] auto demand(work_kind kind) const -> double;
+
+  split_options options_;
+  std::unordered_map<class_name, class_time> classes_;
+  std::array<kind_demand, work_kinds> demand_;
+  time_point updated_;
+  int since_classified_ = 0;
+};
+
+}  // namespace figwind
