--- /dev/null
+++ b/include/figwind/connection_pool.h
@@ -0,0 +1,187 @@
+// Connections of one entry node to its servers: how many to keep warm, and when
+// one that has gone silent is replaced.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+#include "figwind/ids.h"
+#include "figwind/units.h"
+
+namespace figwind {
+
+/// Number of a connection at one entry node, from 1.
+using connection_number = std::uint64_t;
+
+struct connection_pool_settings {
+  /// Time to open a connection.
+  duration open_time = milliseconds(1);
+  /// Time of a probe over a new connection.
+  duration probe_time = milliseconds(6);
+  /// Time over which the highest use is remembered.
+  duration memory = seconds(10);
+  /// Connections opened less than this apart are of the same age.
+  duration same_age = seconds(1);
+};
+
+/// Attempt that a probe asks about.
+struct probed_call {
+  request_id id;
+  std::uint32_t attempt = 0;
+
+  friend auto operator==(const probed_call&, const probed_call&)
+      -> bool = default;
+};
+
+/// Where the server node has the attempt.
+enum class call_presence : std::uint8_t {
+  /// Queued or running: the connection may be sound.
+  waiting,
+  /// Its answer has left: the connection is silent.
+  answered,
+  /// It never arrived: the connection is silent.
+  never_arrived,
+};
+
+/// Sent over a new connection; the server node replies for each call.
+struct probe_request {
+  std::vector<probed_call> calls;
+};
+
+struct probe_reply {
+  std::vector<call_presence> calls;
+};
+
+template <class Inspector>
+auto inspect(Inspector& f, probed_call& x) {
+  return f(x.id, x.attempt);
+}
+
+template <class Inspector>
+auto inspect(Inspector& f, probe_request& x) {
+  return f(x.calls);
+}
+
+template <class Inspector>
+auto inspect(Inspector& f, probe_reply& x) {
+  return f(x.calls);
+}
+
+enum class pool_action_kind : std::uint8_t {
+  /// Open a connection to `server` and report `opened` or `open_failed`.
+  open,
+  /// Close `connection`; an attempt on it is broken with its request sent
+  /// whole, as far as the entry node can tell.
+  close,
+  /// Send a probe about `calls` to `server` over a new connection and report
+  /// `probed` or `probe_failed`.
+  probe,
+};
+
+struct pool_action {
+  pool_action_kind kind = pool_action_kind::open;
+  node_id server;
+  connection_number connection = 0;
+  std::vector<probed_call> calls;
+  /// For `probe`: the connections of `calls`, in the same order.
+  std::vector<connection_number> connections;
+};
+
+using pool_actions = std::vector<pool_action>;
+
+/// Decides over the connections of one entry node. Actions that need no event
+/// come from `tick`, to be called each 1 to 5 ms or when traffic changes.
+class connection_pool {
+ public:
+  explicit connection_pool(connection_pool_settings settings = {});
+
+  /// Connections that this entry node may have to `server`: its limit shared
+  /// among `entry_nodes`, less one that stays free for probes.
+  void set_server(const node_id& server, int connections, int entry_nodes);
+
+  /// Closes idle connections at once and the others when they are released.
+  auto remove_server(const node_id& server) -> pool_actions;
+
+  /// Numbers and counts a connection that was opened after `open`.
+  auto opened(const node_id& server, time_point now) -> connection_number;
+
+  /// A connection could not be opened.
+  void open_failed(const node_id& server, time_point now);
+
+  /// An idle connection for an attempt, or 0: then `tick` asks for another
+  /// one unless the limit is reached.
+  auto acquire(const node_id& server, const probed_call& call, time_point now)
+      -> connection_number;
+
+  /// The whole answer was received, so the connection is idle again.
+  auto released(connection_number connection, time_point now) -> pool_actions;
+
+  /// The connection broke.
+  void broken(connection_number connection);
+
+  /// What is due: connections to open ahead of demand, idle ones to close and
+  /// probes about calls that are quiet for longer than is usual.
+  auto tick(time_point now) -> pool_actions;
+
+  /// The reply to a probe of `connections`.
+  auto probed(const node_id& server,
+              const std::vector<connection_number>& connections,
+              const probe_reply& reply, time_point now) -> pool_actions;
+
+  /// No reply came: the server, not the connection, is at fault.
+  void probe_failed(const node_id& server, time_point now);
+
+  /// Open connections, also those being opened, and those in use.
+  auto open_count(const node_id& server) const -> int;
+  auto used_count(const node_id& server) const -> int;
+
+  /// Quiet time after which a call on `server` is probed; 0 while unknown.
+  auto quiet_limit(const node_id& server) const -> duration;
+
+ private:
+  struct connection {
+    node_id server;
+    time_point opened;
+    time_point heard;
+    /// Start of the attempt in use; meaningless while idle.
+    time_point acquired;
+    time_point next_probe;
+    probed_call call;
+    bool used = false;
+  };
+  struct pool {
+    int limit = 1;
+    int opening = 0;
+    int used = 0;
+    /// Attempts that found no idle connection since the last tick.
+    int missed = 0;
+    double peak = 0;
+    time_point peak_at;
+    time_point retry_open;
+    double usual_ms = 0;
+    double spread_ms = 0;
+    bool probing = false;
+    bool removed = false;
+    std::vector<connection_number> idle;
+    std::vector<connection_number> busy;
+  };
+
+  void drop(connection_number number);
+  auto wanted(pool& p, time_point now) const -> int;
+  void adjust(const node_id& server, pool& p, time_point now,
+              pool_actions& out);
+  void probe_quiet(const node_id& server, pool& p, time_point now,
+                   pool_actions& out);
+  void replace(const node_id& server, pool& p, connection_number silent,
+               time_point now, pool_actions& out);
+
+  connection_pool_settings settings_;
+  connection_number next_ = 1;
+  std::map<node_id, pool> pools_;
+  std::unordered_map<connection_number, connection> connections_;
+};
+
+}  // namespace figwind
--- /dev/null
+++ b/include/figwind/crash_guard.h
@@ -0,0 +1,149 @@
+// Refuses requests that crash the backend servers which run them.
+
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "figwind/ids.h"
+#include "figwind/units.h"
+
+namespace figwind {
+
+/// Identity of a request over all its resends.
+using request_fingerprint =
+    strong<struct request_fingerprint_tag, std::uint64_t>;
+
+/// Fingerprint by key, or by class and body for a request without a key.
+auto fingerprint_of(const class_name& name, const request_key& key,
+                    std::string_view body) -> request_fingerprint;
+
+/// One crash at which a request was running.
+struct crash_mark {
+  /// Hash of the server's node id and of the count of its crashes.
+  std::uint64_t crash = 0;
+  /// Age when the message was made, in ms; expiry needs no common clock.
+  double age_ms = 0;
+  /// The request completed after this crash was known, so it did not cause it.
+  bool cleared = false;
+
+  friend auto operator==(const crash_mark&, const crash_mark&)
+      -> bool = default;
+};
+
+/// What is known of one request.
+struct crash_entry {
+  request_fingerprint request;
+  std::vector<crash_mark> marks;
+
+  friend auto operator==(const crash_entry&, const crash_entry&)
+      -> bool = default;
+};
+
+/// Message between nodes. Merging is commutative and idempotent, so it may be
+/// lost, doubled or passed on.
+struct crash_report {
+  std::vector<crash_entry> entries;
+
+  friend auto operator==(const crash_report&, const crash_report&)
+      -> bool = default;
+};
+
+template <class Inspector>
+auto inspect(Inspector& f, crash_mark& x) {
+  return f(x.crash, x.age_ms, x.cleared);
+}
+
+template <class Inspector>
+auto inspect(Inspector& f, crash_entry& x) {
+  return f(x.request, x.marks);
+}
+
+template <class Inspector>
+auto inspect(Inspector& f, crash_report& x) {
+  return f(x.entries);
+}
+
+struct crash_guard_settings {
+  /// Crashes at which a request is refused.
+  std::size_t crash_limit = 2;
+  /// Time for which a crash is remembered; the retention of keys.
+  duration retention = minutes(10);
+  /// Requests remembered; cleared and least suspected ones are dropped first.
+  std::size_t capacity = 4096;
+};
+
+/// What a server node may do with a request.
+enum class run_permit : std::uint8_t {
+  run,
+  /// Another request that was present at a crash is running; wait for its end,
+  /// so that a further crash has one suspect.
+  wait,
+  /// Answer "not run: repeated_crash".
+  refuse,
+};
+
+/// Crash knowledge of one node. The server node calls `may_run`, `started`,
+/// `finished` and `crashed`; every node calls `refused`, `report` and `merge`.
+class crash_guard {
+ public:
+  explicit crash_guard(node_id self, crash_guard_settings settings = {});
+
+  /// True when the request has reached the limit of crashes.
+  auto refused(request_fingerprint request, time_point now) const -> bool;
+
+  auto may_run(request_fingerprint request, time_point now) const -> run_permit;
+
+  void started(request_fingerprint request);
+
+  /// A request ended without a crash. `completed` clears it of the crashes
+  /// known so far; it is false when it was cancelled before its end.
+  void finished(request_fingerprint request, bool completed, time_point now);
+
+  /// The backend server crashed: marks every running request. Returns what to
+  /// send to the entry nodes of those requests and to other nodes.
+  auto crashed(time_point now) -> crash_report;
+
+  /// What is known of one request, to be sent along with its next attempt.
+  auto report_of(request_fingerprint request, time_point now) const
+      -> crash_report;
+
+  /// Changes since the last call, at most `limit` entries, least recently
+  /// changed first.
+  auto changes(std::size_t limit, time_point now) -> crash_report;
+
+  /// Everything that is remembered, for a node that has just started.
+  auto everything(time_point now) const -> crash_report;
+
+  void merge(const crash_report& report, time_point now);
+
+  auto size() const -> std::size_t { return known_.size(); }
+
+ private:
+  struct mark {
+    std::uint64_t crash = 0;
+    time_point at;
+    bool cleared = false;
+  };
+  using marks = std::vector<mark>;
+
+  auto open_marks(request_fingerprint request, time_point now) const
+      -> std::size_t;
+  auto add(marks& known, const mark& seen) -> bool;
+  auto export_entry(request_fingerprint request, const marks& known,
+                    time_point now) const -> crash_entry;
+  void make_room(time_point now);
+  void note_change(request_fingerprint request);
+
+  node_id self_;
+  crash_guard_settings settings_;
+  std::uint64_t crashes_ = 0;
+  std::unordered_map<request_fingerprint, marks> known_;
+  std::unordered_map<request_fingerprint, int> running_;
+  std::vector<request_fingerprint> changed_;
+};
+
+}  // namespace figwind
