--- /dev/null
+++ b/include/figwind/node_view.h
@@ -0,0 +1,164 @@
+// A node's view of the servers that it calls, and its heartbeats.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "figwind/ids.h"
+#include "figwind/membership.h"
+#include "figwind/outgoing.h"
+#include "figwind/random.h"
+#include "figwind/registry.h"
+#include "figwind/units.h"
+
+namespace figwind {
+
+/// Periods of a node view; the defaults are those of the design page.
+struct node_view_options {
+  duration period = seconds(1);
+  /// A control member without an answer for this time is silent: two lost
+  /// heartbeats, so that the third of a lease reaches another member.
+  duration member_silence = milliseconds(1900);
+  /// Time between attempts to return to the home member.
+  duration home_retry = seconds(10);
+  /// An answer of a server counts as evidence for this time.
+  duration evidence = milliseconds(2500);
+  /// Without an answer of any control member for this time the node is
+  /// isolated.
+  duration isolated_after = seconds(5);
+  /// Renewed full lists are asked for within this time, at random.
+  duration list_spread = seconds(5);
+};
+
+/// A server that may be called.
+struct usable_server {
+  server_record server;
+  /// False when its domain is silent at the control member and it has not
+  /// answered itself of late; use it after the others.
+  bool confirmed = true;
+};
+
+/// What an answer of a control member leads to.
+struct reply_effect {
+  /// Next heartbeats, when more is waiting at the member.
+  std::vector<outgoing<heartbeat>> heartbeats;
+  /// Configurations to put in force, in this order; the caller calls
+  /// `note_in_force` for each that it has put in force.
+  std::vector<config_record> configs;
+  std::vector<group_update> groups;
+};
+
+/// The view of one node. `members` are all control members; those of the
+/// node's domain are its home.
+class node_view {
+ public:
+  node_view(server_record self, std::vector<member_place> members,
+            node_view_options options, random_source random);
+
+  /// Servers of `service` that may get new work at `now`. If the service was
+  /// not asked for before, the list is empty and `knows` is false until the
+  /// next answer: a first call waits one round trip to a control member.
+  auto servers(const service_name& service, time_point now)
+      -> std::vector<usable_server>;
+
+  /// True after the first list of `service` has arrived. A call to a service
+  /// that is not known waits for it; `on_tick` then sends at once.
+  [[nodiscard]] auto knows(const service_name& service) const -> bool;
+
+  /// Takes note of an answer of `server`; `draining` is what it says of itself.
+  void note_answer(const node_id& server, time_point now, bool draining);
+
+  /// Sets the state of the node's own backend server; a lower state than the
+  /// present one is ignored. The next `on_tick` announces it at once. A backend
+  /// server that comes back is a new incarnation.
+  void announce(server_state state, std::uint32_t slots,
+                std::uint32_t connections);
+
+  /// True when the node's own backend server takes new work.
+  [[nodiscard]] auto accepts_work() const -> bool {
+    return self_.state == server_state::serving;
+  }
+
+  /// Sends what is due: each second, or at once after `servers` of a new
+  /// service or `announce`. Call it about 20 times a second and after both.
+  auto on_tick(time_point now) -> std::vector<outgoing<heartbeat>>;
+
+  auto on_reply(const heartbeat_reply& reply, time_point now) -> reply_effect;
+
+  /// Takes note of a configuration that was put in force.
+  void note_in_force(config_version version);
+
+  [[nodiscard]] auto version() const -> config_version { return version_; }
+
+  /// True after a control member has answered once.
+  [[nodiscard]] auto ready() const -> bool { return heard_any_; }
+
+  /// True when no control member has answered for the stated time; the node
+  /// goes on serving with what it knows.
+  [[nodiscard]] auto isolated(time_point now) const -> bool;
+
+  /// Control address of the member in use, and of the leader if known.
+  [[nodiscard]] auto member() const -> vm_address;
+  [[nodiscard]] auto leader() const -> vm_address { return leader_; }
+
+ private:
+  struct known_server {
+    server_record server;
+    std::uint64_t generation = 0;
+    bool listed = true;
+    /// The server itself said that it drains, or a later life answered.
+    bool ended = false;
+    bool answered = false;
+    time_point last_answer;
+  };
+  struct known_service {
+    std::uint64_t cursor = 0;
+    std::uint64_t generation = 0;
+    bool known = false;
+    /// True when all changes of this generation up to the last answer are here.
+    bool complete = false;
+    time_point ask_at;
+    std::map<vm_address, known_server> servers;
+  };
+
+  auto make_heartbeat(time_point now) -> heartbeat;
+  void choose_member(time_point now);
+  void enter_epoch(std::uint64_t epoch, time_point now);
+  void apply(const service_changes& changes, time_point now);
+  void merge(known_service& service, const server_record& news);
+  void purge(time_point now);
+  auto usable(const known_server& x, time_point now) const -> bool;
+  auto has_evidence(const known_server& x, time_point now) const -> bool;
+  auto is_silent(const failure_domain& domain) const -> bool;
+
+  server_record self_;
+  /// Home members first, the others in the order of their rendezvous hash.
+  std::vector<member_place> members_;
+  std::size_t home_count_ = 0;
+  std::size_t current_ = 0;
+  node_view_options options_;
+  random_source random_;
+  std::map<service_name, known_service> services_;
+  std::unordered_map<vm_address, service_name> service_of_;
+  std::vector<failure_domain> silent_;
+  vm_address leader_;
+  config_version version_;
+  config_version taken_version_;
+  std::uint64_t groups_version_ = 0;
+  std::uint64_t epoch_ = 0;
+  std::uint64_t beat_ = 0;
+  std::uint64_t newest_reply_ = 0;
+  bool urgent_ = true;
+  bool heard_any_ = false;
+  time_point last_heard_;
+  time_point member_since_;
+  time_point next_beat_;
+  time_point next_home_;
+  bool begun_ = false;
+};
+
+}  // namespace figwind
--- /dev/null
+++ b/include/figwind/record_client.h
@@ -0,0 +1,138 @@
+// The server node's side of at-most-once execution: asks the recorders of a
+// key before its request runs.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "figwind/key_recorder.h"
+#include "figwind/outgoing.h"
+#include "figwind/record_messages.h"
+#include "figwind/units.h"
+
+namespace figwind {
+
+/// What the recorders' answers mean for one attempt.
+enum class record_verdict : std::uint8_t {
+  /// This attempt may run, and must end in `finish` or `abandon`.
+  first,
+  /// Another attempt holds the key; it may have run or may run.
+  elsewhere,
+  /// The key is done with the recorded outcome.
+  done,
+  /// The recorders refuse the key; this attempt does not run.
+  refused,
+  /// No majority answered in time; this attempt does not run.
+  unreachable,
+};
+
+/// The decision on one attempt.
+struct record_decision {
+  attempt_id attempt;
+  request_key key;
+  record_verdict verdict = record_verdict::unreachable;
+  /// What to tell the entry node unless the verdict is `first`: the recorded
+  /// outcome, `not_run` when no attempt of this key has run or can still run,
+  /// and `unknown` otherwise.
+  key_outcome outcome;
+  refusal reason = refusal::none;
+};
+
+/// Times of the client.
+struct record_client_options {
+  recorder_options recorders;
+  /// Time after which an unanswered request is sent again.
+  duration resend = milliseconds(150);
+  /// Longest time until a decision.
+  duration patience = seconds(1);
+  /// Time for which outcomes and releases are sent until recorders confirm.
+  duration confirm = seconds(10);
+};
+
+/// Messages and decisions that a call has led to.
+struct record_output {
+  std::vector<outgoing<record_request>> requests;
+  std::vector<record_decision> decisions;
+};
+
+/// The client of one life of a server node.
+class record_client {
+ public:
+  record_client(node_id self, std::uint32_t groups_per_domain,
+                record_client_options options);
+
+  /// Takes a group record of the replicated configuration.
+  void set_group(const recorder_group& group);
+
+  /// Begins an attempt for `key`. `earlier_unresolved` is true unless every
+  /// earlier sending of this key, if any, was answered with `not_run`.
+  auto begin(const request_key& key, bool earlier_unresolved, time_point now,
+             time_point unix_now, attempt_id& attempt) -> record_output;
+
+  auto on_reply(const record_reply& reply, time_point now) -> record_output;
+
+  /// Sends again what was not answered and decides what took too long. Call it
+  /// about 20 times a second.
+  auto on_tick(time_point now) -> record_output;
+
+  /// Records the outcome of an attempt that has run. `crashed` is true when the
+  /// backend server crashed on it. Pass the answer to the caller only after
+  /// this call; it need not wait for the recorders.
+  auto finish(const attempt_id& attempt, key_outcome outcome, bool crashed,
+              time_point now) -> record_output;
+
+  /// Takes back an attempt with the verdict `first` that certainly did not run
+  /// and will not. Gives the status to tell: `not_run`, or `unknown` when an
+  /// earlier sending is unresolved.
+  auto abandon(const attempt_id& attempt, bool crashed, time_point now,
+               record_output& output) -> call_status;
+
+  /// Attempts that are not yet decided, finished or confirmed.
+  [[nodiscard]] auto size() const -> std::size_t { return attempts_.size(); }
+
+ private:
+  struct peer_answer {
+    node_id recorder;
+    bool answered = false;
+    record_answer answer = record_answer::granted;
+  };
+  struct attempt_state {
+    attempt_id id;
+    request_key key;
+    failure_domain domain;
+    std::uint32_t group = 0;
+    std::uint64_t epoch = 0;
+    record_step step = record_step::begin;
+    bool earlier_unresolved = true;
+    bool won = false;
+    bool crashed = false;
+    bool asked = false;
+    key_outcome outcome;
+    std::vector<peer_answer> peers;
+    /// Recorders of earlier epochs that may hold a vote to be taken back.
+    std::vector<node_id> former;
+    time_point ends;
+    time_point next_send;
+  };
+
+  void enter_epoch(attempt_state& x);
+  void send(attempt_state& x, time_point now, record_output& output) const;
+  auto decide(attempt_state& x, time_point now, record_output& output) -> bool;
+  void lose(attempt_state& x, record_decision decision, time_point now,
+            record_output& output);
+  static auto count(const attempt_state& x, record_answer answer)
+      -> std::size_t;
+  auto confirmed(const attempt_state& x) const -> bool;
+
+  node_id self_;
+  std::uint32_t groups_per_domain_;
+  record_client_options options_;
+  std::uint64_t last_number_ = 0;
+  std::map<std::pair<failure_domain, std::uint32_t>, recorder_group> groups_;
+  std::map<std::uint64_t, attempt_state> attempts_;
+};
+
+}  // namespace figwind
