--- a/src/adapters/node_actor.cc
+++ b/src/adapters/node_actor.cc
@@ -17,7 +17,7 @@
   std::shared_ptr<std::promise<call_effect>> reply;
 };
 
-struct attempt_end {
+struct attempt_report_message {
   attempt_report report;
   std::shared_ptr<std::promise<call_effect>> reply;
 };
@@ -40,7 +40,7 @@
 }  // namespace figwind
 
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(figwind::call_request)
-CAF_ALLOW_UNSAFE_MESSAGE_TYPE(figwind::attempt_end)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(figwind::attempt_report_message)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(figwind::run_request)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(figwind::run_end)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(figwind::announcement)
@@ -104,7 +104,7 @@
         state.calls[x.context.id] = x.reply;
         state.apply(begin(state, x.context));
       },
-      [&state](const attempt_end& x) {
+      [&state](const attempt_report_message& x) {
         state.calls[x.report.id] = x.reply;
         state.apply(state.core->attempt_ended(x.report, steady_now()));
       },
@@ -140,7 +140,7 @@
 auto node_handle::end_attempt(const attempt_report& report) -> call_effect {
   auto reply = std::make_shared<std::promise<call_effect>>();
   auto step = reply->get_future();
-  caf::anon_send(actor_, attempt_end{report, std::move(reply)});
+  caf::anon_send(actor_, attempt_report_message{report, std::move(reply)});
   return step.get();
 }
 
--- a/src/programs/figwindd.cc
+++ b/src/programs/figwindd.cc
@@ -27,13 +27,6 @@
   return text.str();
 }
 
-template <class T, class Parse>
-auto load(const std::string& path, Parse parse) -> figwind::result<T> {
-  auto file = figwind::parse_ini(path, read_file(path));
-  if (!ok(file)) return errors(file);
-  return parse(value(file));
-}
-
 auto wait_for_stop() -> int {
   auto signals = sigset_t{};
   sigemptyset(&signals);
@@ -57,9 +50,9 @@
 auto main(int argc, char** argv) -> int {
   gflags::SetUsageMessage("figwindd --settings FILE");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
-  auto own = load<figwind::settings>(FLAGS_settings, figwind::parse_settings);
+  auto own = figwind::parse_settings(FLAGS_settings, read_file(FLAGS_settings));
   auto classes =
-      load<figwind::workload>(FLAGS_workload, figwind::parse_workload);
+      figwind::parse_workload(FLAGS_workload, read_file(FLAGS_workload));
   if (!ok(own) || !ok(classes)) {
     std::cerr << to_string(errors(own)) << to_string(errors(classes));
     return 2;
