--- a/include/figwind/admission.h
+++ b/include/figwind/admission.h
@@ -6,7 +6,6 @@
 
 #pragma once
 
-#include <array>
 #include <cstdint>
 #include <limits>
 #include <map>
@@ -62,34 +61,31 @@
   duration period = milliseconds(50);
   /// Time in which a queue that is off its target is brought back.
   duration horizon = milliseconds(200);
-  /// Time constant of measured arrivals at admitted levels.
+  /// Time constant of measured arrivals.
   duration arrival_window = milliseconds(150);
-  /// Half-life of remembered arrivals at levels that are refused upstream and
-  /// therefore not seen here.
-  duration memory = milliseconds(700);
   /// Share of a class's range by which one hop of depth is preferred.
   fraction depth_margin{0.05};
 };
 
 /// What a queue measures for one computation.
 struct queue_load {
-  /// Completions per second that the server can give.
-  double capacity = 0;
-  /// Calls that wait.
-  double queued = 0;
-  /// True while calls wait or every slot is taken.
-  bool saturated = false;
+  /// Calls that the server may run at once.
+  double slots = 0;
+  /// Slot time that the waiting calls need.
+  duration waiting;
 };
 
 /// Computes the threshold of one queue from arrivals per level, completion
-/// capacity and queueing delay against its target.
+/// capacity and queueing delay against its target. Arrivals and capacity are
+/// compared in slots: an arrival counts with the time that its class holds a
+/// slot, so that classes of any length mix.
 class threshold_control {
  public:
   explicit threshold_control(const threshold_options& options,
                              time_point now = {});
 
-  /// Counts an arrival, admitted or not.
-  void count_arrival(admission_level level);
+  /// Counts an arrival, admitted or not, and the slot time that it needs.
+  void count_arrival(admission_level level, duration held);
 
   /// True when `call` is admitted at the current threshold.
   [[nodiscard]] auto admits(const call_context& call) const -> bool;
@@ -103,14 +99,19 @@
   [[nodiscard]] auto threshold() const -> admission_level { return threshold_; }
 
  private:
-  static constexpr std::size_t bins = 64;
-
+  // The hash spreads the requests of a rank evenly over its levels, so one
+  // figure per rank describes also the part that is refused upstream.
   struct rank_arrivals {
-    std::array<int, bins> count{};
-    std::array<double, bins> per_second{};
+    int count = 0;
+    double held_ms = 0;
+    double highest = 0;
+    double seen_slots = 0;
+    double seen_share = 0;
+    double slots = 0;
   };
 
-  void fold_counts(double elapsed_ms);
+  [[nodiscard]] auto open_share(std::uint64_t rank) const -> double;
+  void fold(std::uint64_t rank, rank_arrivals& x, double elapsed_ms) const;
   [[nodiscard]] auto level_for(double allowed) const -> admission_level;
 
   threshold_options options_;
@@ -166,7 +167,6 @@
     std::vector<seen_threshold> seen;
     admission_level combined = open_threshold;
     time_point combined_at{-1e18};
-    bool changed = false;
   };
 
   struct chain_view {
--- a/include/figwind/limiter.h
+++ b/include/figwind/limiter.h
@@ -72,7 +72,8 @@
   auto relative_time(const class_name& name, double ms, time_point now)
       -> double;
   void judge(time_point now);
-  void lower(const judgement& seen, time_point now);
+  auto undo(const judgement& seen, time_point now) -> bool;
+  void lower(const judgement& seen);
   void raise(const judgement& seen, time_point now);
 
   limiter_options options_;
@@ -85,11 +86,13 @@
   time_point epoch_;
   int completions_ = 0;
   double relative_sum_ = 0;
+  double work_sum_ = 0;
   double in_flight_sum_ = 0;
 
   double slowdown_ = 1;
   judgement before_;
   int last_change_ = 0;
+  duration hold_;
   time_point held_until_{-1e18};
 };
 
--- a/include/figwind/run_queue.h
+++ b/include/figwind/run_queue.h
@@ -9,10 +9,12 @@
 
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <set>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "figwind/admission.h"
@@ -31,8 +33,9 @@
   threshold_options threshold;
   limiter_options limit;
   split_options split;
-  /// Longest queue, as time that the server needs to work it off. What is
-  /// beyond it is evicted, least important first.
+  /// Longest queue of short work, as time that the server needs to work it
+  /// off. What is beyond it is evicted, least important first. Long work waits
+  /// as long as its deadline allows.
   duration longest_wait = milliseconds(60);
 };
 
@@ -114,7 +117,7 @@
   /// Calls that may run at once.
   [[nodiscard]] auto limit(time_point now) const -> int;
 
-  /// Time that a new call of `importance` is expected to wait.
+  /// Time that a new short call of `importance` is expected to wait.
   [[nodiscard]] auto expected_wait(int importance, time_point now) const
       -> duration;
 
@@ -136,6 +139,7 @@
     time_point started;
     time_point deadline;
     double latest_start_ms = 0;
+    double held_ms = 0;
     admission_level level;
     work_kind kind = work_kind::caller_facing;
     bool running = false;
@@ -145,21 +149,23 @@
   using level_index = std::set<std::pair<admission_level, std::uint64_t>>;
   using time_index = std::set<std::pair<double, std::uint64_t>>;
 
-  [[nodiscard]] auto key_of(std::uint64_t ticket, const entry& x) const
-      -> order_key;
-  [[nodiscard]] auto least_time(const class_name& name, time_point now) const
-      -> duration;
+  [[nodiscard]] auto refusal_of(const call_context& call, const entry& x,
+                                time_point now) const -> refusal;
+  [[nodiscard]] auto make_entry(const call_context& call, time_point now) const
+      -> entry;
+  [[nodiscard]] auto wait_of(const entry& x, time_point now) const -> duration;
   [[nodiscard]] auto may_start(work_kind kind, time_point now) const -> bool;
-  [[nodiscard]] auto capacity(time_point now) const -> double;
-  [[nodiscard]] auto longest_queue(time_point now) const -> int;
-  void start(std::uint64_t ticket, entry& x, time_point now);
-  void enqueue(std::uint64_t ticket, entry& x);
+  [[nodiscard]] auto is_full(double more_ms, time_point now) const -> bool;
+  [[nodiscard]] auto first_startable(time_point now) const -> std::uint64_t;
+  [[nodiscard]] static auto key_of(std::uint64_t ticket, const entry& x)
+      -> order_key;
+  void start(entry& x, time_point now);
+  void enqueue(std::uint64_t ticket, const entry& x);
   void dequeue(std::uint64_t ticket, const entry& x);
   void forget(std::uint64_t ticket);
   void refuse_queued(std::uint64_t ticket, refusal reason);
   void drop_stale(time_point now);
   void evict_excess(time_point now);
-  void start_waiting(time_point now, queue_actions& actions);
   void update_threshold(time_point now);
 
   run_queue_options options_;
@@ -171,13 +177,16 @@
   entries calls_;
   std::unordered_multimap<request_id, std::uint64_t> by_request_;
   std::array<std::set<order_key>, work_kinds> waiting_;
-  level_index by_level_;
+  level_index short_by_level_;
   time_index by_latest_start_;
-  std::map<int, int> waiting_by_importance_;
+  // Slot time that waiting short and long calls need, by importance.
+  std::map<int, double> short_ms_;
+  std::map<int, double> long_ms_;
+  double total_short_ms_ = 0;
   std::vector<refused_call> pending_refusals_;
 
   std::unordered_map<class_name, time_estimate> held_;
-  time_estimate mean_held_{0.02};
+  time_estimate all_held_{0.02};
   kind_counts running_{};
   kind_counts queued_{};
   std::uint64_t last_ticket_ = 0;
--- a/include/figwind/service_time.h
+++ b/include/figwind/service_time.h
@@ -20,6 +20,9 @@
   [[nodiscard]] auto empty() const -> bool { return samples_ == 0; }
   [[nodiscard]] auto samples() const -> int { return samples_; }
 
+  /// The mean as it was at the last sample; 0 before the first.
+  [[nodiscard]] auto last_mean() const -> duration { return mean_; }
+
   /// Exponentially weighted mean; 0 before the first sample.
   [[nodiscard]] auto mean(time_point now) const -> duration;
 
--- a/include/figwind/slot_split.h
+++ b/include/figwind/slot_split.h
@@ -72,8 +72,7 @@
   [[nodiscard]] auto share(work_kind kind, int limit) const -> int;
 
   /// Mean time in the slot of the kind; 0 before the first completion.
-  [[nodiscard]] auto mean_held(work_kind kind, time_point now) const
-      -> duration;
+  [[nodiscard]] auto mean_held(work_kind kind) const -> duration;
 
  private:
   struct class_time {
@@ -84,13 +83,13 @@
   struct kind_demand {
     int arrivals = 0;
     double per_ms = 0;
-    double mean_ms = 0;
     time_estimate held;
   };
 
-  void classify(time_point now);
+  void classify();
   void update(time_point now);
   [[nodiscard]] auto demand(work_kind kind) const -> double;
+  [[nodiscard]] auto guaranteed(int limit) const -> int;
 
   split_options options_;
   std::unordered_map<class_name, class_time> classes_;
--- /dev/null
+++ b/src/decisions/entry_gate.cc
@@ -0,0 +1,119 @@
+#include <algorithm>
+
+#include "figwind/admission.h"
+
+namespace figwind {
+
+namespace {
+
+// Share of one answer in the observed use of a service by a class.
+constexpr auto answer_weight = 0.02;
+
+// The combined threshold of a service is computed anew at most this often.
+constexpr auto combine_every = milliseconds(5);
+
+// Reporters of one service that are remembered; with more, the oldest report
+// gives way.
+constexpr auto most_reporters = std::size_t{32};
+
+auto middle(std::vector<std::uint64_t>& levels) -> admission_level {
+  std::sort(levels.begin(), levels.end());
+  const auto upper = levels[levels.size() / 2];
+  const auto lower = levels[(levels.size() - 1) / 2];
+  return {lower + (upper - lower) / 2};
+}
+
+}  // namespace
+
+entry_gate::entry_gate(const gate_options& options) : options_{options} {}
+
+void entry_gate::store(const threshold_report& report, time_point now) {
+  auto& view = services_[report.service];
+  auto found = std::find_if(
+      view.seen.begin(), view.seen.end(),
+      [&](const auto& x) { return x.reporter == report.reporter; });
+  if (found == view.seen.end() && view.seen.size() >= most_reporters) {
+    found = std::min_element(
+        view.seen.begin(), view.seen.end(),
+        [](const auto& a, const auto& b) { return a.at < b.at; });
+  }
+  if (found == view.seen.end()) {
+    view.seen.push_back({report.reporter, report.threshold, now});
+    return;
+  }
+  *found = {report.reporter, report.threshold, now};
+}
+
+auto entry_gate::combined(service_view& view, time_point now) const
+    -> admission_level {
+  const auto age = now - view.combined_at;
+  if (age < combine_every) return view.combined;
+  std::erase_if(view.seen,
+                [&](const auto& x) { return now - x.at >= options_.expiry; });
+  view.combined_at = now;
+  view.combined = open_threshold;
+  if (view.seen.empty()) return view.combined;
+  auto levels = std::vector<std::uint64_t>{};
+  levels.reserve(view.seen.size());
+  for (const auto& x : view.seen) levels.push_back(x.threshold.value);
+  view.combined = middle(levels);
+  return view.combined;
+}
+
+void entry_gate::observe(const class_name& name,
+                         const std::vector<threshold_report>& reports,
+                         time_point now) {
+  auto& chain = chains_[name];
+  for (auto& [service, share] : chain.share) share *= 1 - answer_weight;
+  for (const auto& report : reports) {
+    store(report, now);
+    const auto [at, is_new] = chain.share.try_emplace(report.service, 1.0);
+    if (!is_new) at->second = std::min(1.0, at->second + answer_weight);
+  }
+}
+
+void entry_gate::observe_time(const class_name& name, duration total,
+                              time_point now) {
+  chains_[name].total.observe(total, now);
+}
+
+auto entry_gate::threshold_of(const class_name& name, time_point now)
+    -> admission_level {
+  auto strictest = open_threshold;
+  const auto chain = chains_.find(name);
+  if (chain == chains_.end()) return strictest;
+  for (const auto& [service, share] : chain->second.share) {
+    if (share < options_.chain_share.value) continue;
+    const auto view = services_.find(service);
+    if (view == services_.end()) continue;
+    strictest = std::min(strictest, combined(view->second, now));
+  }
+  return strictest;
+}
+
+auto entry_gate::decide(const call_context& call, time_point now) -> refusal {
+  if (level_of(call) > threshold_of(call.name, now)) return refusal::overload;
+  const auto chain = chains_.find(call.name);
+  if (chain == chains_.end()) return refusal::none;
+  if (chain->second.total.least(now) > call.time_left) {
+    return refusal::deadline;
+  }
+  return refusal::none;
+}
+
+auto entry_gate::relay(const std::vector<service_name>& services,
+                       const vm_address& self, time_point now)
+    -> std::vector<threshold_report> {
+  auto reports = std::vector<threshold_report>{};
+  for (const auto& service : services) {
+    auto report = threshold_report{service, self, open_threshold};
+    const auto view = services_.find(service);
+    if (view != services_.end()) {
+      report.threshold = combined(view->second, now);
+    }
+    reports.push_back(report);
+  }
+  return reports;
+}
+
+}  // namespace figwind
--- /dev/null
+++ b/src/decisions/run_queue.cc
@@ -0,0 +1,282 @@
+#include "figwind/run_queue.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace figwind {
+
+namespace {
+
+// Slot time assumed for a class before anything was observed at this server.
+constexpr auto unknown_held_ms = 5.0;
+
+auto index(work_kind kind) -> std::size_t {
+  return static_cast<std::size_t>(kind);
+}
+
+auto sum(const kind_counts& x) -> int {
+  return std::accumulate(x.begin(), x.end(), 0);
+}
+
+auto sum_up_to(const std::map<int, double>& by_importance, int importance)
+    -> double {
+  auto total = 0.0;
+  for (const auto& [rank, ms] : by_importance) {
+    if (rank > importance) break;
+    total += ms;
+  }
+  return total;
+}
+
+void subtract(std::map<int, double>& by_importance, int importance, double ms) {
+  const auto found = by_importance.find(importance);
+  if (found == by_importance.end()) return;
+  found->second -= ms;
+  if (found->second < 1e-9) by_importance.erase(found);
+}
+
+}  // namespace
+
+run_queue::run_queue(const run_queue_options& options, int slots, bool cold,
+                     time_point now)
+    : options_{options},
+      threshold_{options.threshold, now},
+      limiter_{options.limit, slots, cold, now},
+      split_{options.split, now} {}
+
+auto run_queue::arrive(const call_context& call, time_point now) -> arrival {
+  if (draining_) return {arrival_verdict::refused, refusal::draining, {}};
+  update_threshold(now);
+  auto x = make_entry(call, now);
+  threshold_.count_arrival(level_of(call), milliseconds(x.held_ms));
+  const auto reason = refusal_of(call, x, now);
+  if (reason != refusal::none) return {arrival_verdict::refused, reason, {}};
+  split_.count_arrival(x.kind, now);
+  const auto ticket = ++last_ticket_;
+  by_request_.emplace(call.id, ticket);
+  auto& stored = calls_.emplace(ticket, std::move(x)).first->second;
+  const auto kind = stored.kind;
+  if (waiting_[index(kind)].empty() && may_start(kind, now)) {
+    start(stored, now);
+    return {arrival_verdict::start, refusal::none, {ticket}};
+  }
+  enqueue(ticket, stored);
+  evict_excess(now);
+  return {arrival_verdict::queued, refusal::none, {ticket}};
+}
+
+auto run_queue::make_entry(const call_context& call, time_point now) const
+    -> entry {
+  auto x = entry{};
+  x.call = call;
+  x.deadline = now + call.time_left;
+  x.level = level_at_depth(call, options_.threshold.depth_margin);
+  x.kind = split_.kind_of(call);
+  const auto found = held_.find(call.name);
+  if (found != held_.end()) {
+    x.held_ms = found->second.last_mean().ms;
+    x.latest_start_ms = x.deadline.ms - found->second.least(now).ms;
+    return x;
+  }
+  const auto& all = all_held_;
+  x.held_ms = all.empty() ? unknown_held_ms : all.last_mean().ms;
+  x.latest_start_ms = x.deadline.ms;
+  return x;
+}
+
+auto run_queue::refusal_of(const call_context& call, const entry& x,
+                           time_point now) const -> refusal {
+  if (!threshold_.admits(call)) return refusal::overload;
+  const auto soonest = now + wait_of(x, now);
+  if (soonest.ms > x.latest_start_ms) return refusal::deadline;
+  if (x.kind == work_kind::long_running) return refusal::none;
+  if (!is_full(x.held_ms, now) || short_by_level_.empty()) {
+    return refusal::none;
+  }
+  const auto worst = short_by_level_.rbegin()->first;
+  return x.level >= worst ? refusal::overload : refusal::none;
+}
+
+auto run_queue::wait_of(const entry& x, time_point now) const -> duration {
+  if (x.kind != work_kind::long_running) {
+    return expected_wait(x.call.importance, now);
+  }
+  const auto ahead = sum_up_to(long_ms_, x.call.importance);
+  return milliseconds(ahead / split_.share(x.kind, limit(now)));
+}
+
+auto run_queue::expected_wait(int importance, time_point now) const
+    -> duration {
+  return milliseconds(sum_up_to(short_ms_, importance) / limit(now));
+}
+
+auto run_queue::may_start(work_kind kind, time_point now) const -> bool {
+  return split_.may_start(kind, limit(now), running_, queued_);
+}
+
+auto run_queue::is_full(double more_ms, time_point now) const -> bool {
+  const auto most = options_.longest_wait.ms * limit(now);
+  return total_short_ms_ + more_ms > most;
+}
+
+void run_queue::start(entry& x, time_point now) {
+  x.running = true;
+  x.started = now;
+  running_[index(x.kind)] += 1;
+}
+
+auto run_queue::key_of(std::uint64_t ticket, const entry& x) -> order_key {
+  return {x.call.importance, -x.call.depth, x.deadline.ms, ticket};
+}
+
+void run_queue::enqueue(std::uint64_t ticket, const entry& x) {
+  waiting_[index(x.kind)].insert(key_of(ticket, x));
+  queued_[index(x.kind)] += 1;
+  by_latest_start_.emplace(x.latest_start_ms, ticket);
+  if (x.kind == work_kind::long_running) {
+    long_ms_[x.call.importance] += x.held_ms;
+    return;
+  }
+  short_by_level_.emplace(x.level, ticket);
+  short_ms_[x.call.importance] += x.held_ms;
+  total_short_ms_ += x.held_ms;
+}
+
+void run_queue::dequeue(std::uint64_t ticket, const entry& x) {
+  waiting_[index(x.kind)].erase(key_of(ticket, x));
+  queued_[index(x.kind)] -= 1;
+  by_latest_start_.erase({x.latest_start_ms, ticket});
+  if (x.kind == work_kind::long_running) {
+    subtract(long_ms_, x.call.importance, x.held_ms);
+    return;
+  }
+  short_by_level_.erase({x.level, ticket});
+  subtract(short_ms_, x.call.importance, x.held_ms);
+  total_short_ms_ -= x.held_ms;
+  // An empty queue takes away what rounding has left.
+  if (short_by_level_.empty()) total_short_ms_ = 0;
+}
+
+void run_queue::forget(std::uint64_t ticket) {
+  const auto found = calls_.find(ticket);
+  if (found == calls_.end()) return;
+  const auto [first, last] = by_request_.equal_range(found->second.call.id);
+  const auto own = std::find_if(
+      first, last, [&](const auto& x) { return x.second == ticket; });
+  if (own != last) by_request_.erase(own);
+  calls_.erase(found);
+}
+
+void run_queue::refuse_queued(std::uint64_t ticket, refusal reason) {
+  dequeue(ticket, calls_.at(ticket));
+  forget(ticket);
+  pending_refusals_.push_back({{ticket}, reason});
+}
+
+void run_queue::finish(call_ticket ticket, time_point now,
+                       const run_outcome& outcome) {
+  const auto found = calls_.find(ticket.value);
+  if (found == calls_.end() || !found->second.running) return;
+  const auto& x = found->second;
+  const auto in_flight_then = in_flight();
+  running_[index(x.kind)] -= 1;
+  if (outcome.status == call_status::complete) {
+    const auto held = now - x.started;
+    const auto own = std::max(0.0, (held - outcome.downstream).ms);
+    held_[x.call.name].observe(held, now);
+    all_held_.observe(held, now);
+    split_.observe(x.call.name, x.kind, held, now);
+    limiter_.observe(x.call.name, milliseconds(own), in_flight_then, now);
+  }
+  forget(ticket.value);
+}
+
+auto run_queue::cancel(const request_id& id, time_point now)
+    -> cancelled_calls {
+  update_threshold(now);
+  auto calls = cancelled_calls{};
+  const auto [first, last] = by_request_.equal_range(id);
+  for (auto at = first; at != last; ++at) {
+    auto& list = calls_.at(at->second).running ? calls.running : calls.removed;
+    list.push_back({at->second});
+  }
+  for (const auto& ticket : calls.removed) {
+    dequeue(ticket.value, calls_.at(ticket.value));
+    forget(ticket.value);
+  }
+  return calls;
+}
+
+auto run_queue::tick(time_point now) -> queue_actions {
+  update_threshold(now);
+  drop_stale(now);
+  auto actions = queue_actions{};
+  while (const auto ticket = first_startable(now)) {
+    auto& x = calls_.at(ticket);
+    dequeue(ticket, x);
+    start(x, now);
+    actions.start.push_back({ticket});
+  }
+  actions.refused.swap(pending_refusals_);
+  return actions;
+}
+
+auto run_queue::first_startable(time_point now) const -> std::uint64_t {
+  const order_key* first = nullptr;
+  for (auto i = std::size_t{0}; i < work_kinds; ++i) {
+    if (waiting_[i].empty()) continue;
+    const auto& candidate = *waiting_[i].begin();
+    if (first != nullptr && *first < candidate) continue;
+    if (may_start(static_cast<work_kind>(i), now)) first = &candidate;
+  }
+  return first == nullptr ? 0 : first->ticket;
+}
+
+void run_queue::drop_stale(time_point now) {
+  while (!by_latest_start_.empty() &&
+         by_latest_start_.begin()->first < now.ms) {
+    refuse_queued(by_latest_start_.begin()->second, refusal::deadline);
+  }
+}
+
+void run_queue::evict_excess(time_point now) {
+  while (short_by_level_.size() > 1 && is_full(0, now)) {
+    refuse_queued(short_by_level_.rbegin()->second, refusal::overload);
+  }
+}
+
+void run_queue::update_threshold(time_point now) {
+  if (!threshold_.due(now)) return;
+  threshold_.update(
+      {static_cast<double>(limit(now)), milliseconds(total_short_ms_)}, now);
+}
+
+void run_queue::begin_drain() {
+  draining_ = true;
+}
+
+auto run_queue::drained() const -> bool {
+  return draining_ && calls_.empty();
+}
+
+auto run_queue::threshold() const -> admission_level {
+  return threshold_.threshold();
+}
+
+auto run_queue::in_flight() const -> int {
+  return sum(running_);
+}
+
+auto run_queue::queued() const -> int {
+  return sum(queued_);
+}
+
+auto run_queue::limit(time_point now) const -> int {
+  return limiter_.limit(now);
+}
+
+void run_queue::set_slots(int slots) {
+  limiter_.set_slots(slots);
+}
+
+}  // namespace figwind
--- /dev/null
+++ b/src/decisions/service_time.cc
@@ -0,0 +1,35 @@
+#include "figwind/service_time.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace figwind {
+
+void time_estimate::observe(duration sample, time_point now) {
+  // The first samples count fully, so that the start value has no weight.
+  const auto weight = std::max(weight_, 1.0 / (samples_ + 1));
+  const auto off = sample.ms - mean_.ms;
+  mean_.ms += weight * off;
+  if (samples_ > 0) {
+    deviation_.ms += weight * (std::abs(off) - deviation_.ms);
+  }
+  samples_ = std::min(samples_ + 1, 1'000'000);
+  last_ = now;
+}
+
+auto time_estimate::decay(time_point now) const -> double {
+  const auto idle = (now - last_) - seconds(1);
+  if (idle.ms <= 0) return 1;
+  return std::exp2(-(idle / seconds(1)));
+}
+
+auto time_estimate::mean(time_point now) const -> duration {
+  return mean_ * decay(now);
+}
+
+auto time_estimate::least(time_point now) const -> duration {
+  const auto low = std::max(0.0, mean_.ms - deviation_.ms);
+  return milliseconds(low * decay(now));
+}
+
+}  // namespace figwind
--- /dev/null
+++ b/src/decisions/slot_split.cc
@@ -0,0 +1,132 @@
+#include "figwind/slot_split.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <vector>
+
+namespace figwind {
+
+namespace {
+
+// Demand is computed anew at most this often.
+constexpr auto demand_period = milliseconds(20);
+
+// Classes are told apart anew after this many completions.
+constexpr auto classify_every = 64;
+
+auto index(work_kind kind) -> std::size_t {
+  return static_cast<std::size_t>(kind);
+}
+
+auto sum(const kind_counts& x) -> int {
+  return std::accumulate(x.begin(), x.end(), 0);
+}
+
+}  // namespace
+
+slot_split::slot_split(const split_options& options, time_point now)
+    : options_{options}, updated_{now} {}
+
+auto slot_split::kind_of(const call_context& call) const -> work_kind {
+  const auto found = classes_.find(call.name);
+  if (found == classes_.end() || found->second.is_long) {
+    return work_kind::long_running;
+  }
+  // Calls with a key are not lookups: confining them would refuse important
+  // work while less important lookups of callers run.
+  if (call.depth > 0 && call.key.value.empty()) return work_kind::internal;
+  return work_kind::caller_facing;
+}
+
+void slot_split::count_arrival(work_kind kind, time_point now) {
+  demand_[index(kind)].arrivals += 1;
+  if (now - updated_ >= demand_period) update(now);
+}
+
+void slot_split::update(time_point now) {
+  const auto elapsed = now - updated_;
+  updated_ = now;
+  for (auto& x : demand_) {
+    const auto rate = x.arrivals / elapsed.ms;
+    const auto constant = rate > x.per_ms ? options_.rise : options_.fall;
+    x.per_ms += (1 - std::exp(-(elapsed / constant))) * (rate - x.per_ms);
+    x.arrivals = 0;
+  }
+}
+
+void slot_split::observe(const class_name& name, work_kind kind, duration held,
+                         time_point now) {
+  const auto [found, is_new] = classes_.try_emplace(name);
+  found->second.held.observe(held, now);
+  demand_[index(kind)].held.observe(held, now);
+  since_classified_ += 1;
+  if (is_new || since_classified_ >= classify_every) classify();
+}
+
+void slot_split::classify() {
+  since_classified_ = 0;
+  auto means = std::vector<double>{};
+  for (const auto& [name, x] : classes_) {
+    means.push_back(x.held.last_mean().ms);
+  }
+  std::sort(means.begin(), means.end());
+  auto widest = options_.long_ratio;
+  auto shortest_long = std::numeric_limits<double>::infinity();
+  for (auto i = std::size_t{1}; i < means.size(); ++i) {
+    const auto ratio = means[i] / std::max(means[i - 1], 1e-6);
+    if (ratio < widest) continue;
+    widest = ratio;
+    shortest_long = means[i];
+  }
+  for (auto& [name, x] : classes_) {
+    x.is_long = x.held.last_mean().ms >= shortest_long;
+  }
+}
+
+auto slot_split::demand(work_kind kind) const -> double {
+  const auto& x = demand_[index(kind)];
+  return x.per_ms * x.held.last_mean().ms;
+}
+
+auto slot_split::guaranteed(int limit) const -> int {
+  return std::max(1, static_cast<int>(limit * options_.guaranteed.value));
+}
+
+auto slot_split::share(work_kind kind, int limit) const -> int {
+  const auto callers = demand(work_kind::caller_facing);
+  auto kept = 0.0;
+  if (kind == work_kind::internal) {
+    kept = callers + options_.internal_headroom * std::sqrt(callers);
+  }
+  if (kind == work_kind::long_running) {
+    const auto short_work = callers + demand(work_kind::internal);
+    // One slot stays free even without short demand: the first short call
+    // after a quiet time would otherwise wait for a whole long one.
+    kept =
+        std::max(1.0, short_work + options_.headroom * std::sqrt(short_work));
+  }
+  const auto left = limit - static_cast<int>(std::ceil(kept));
+  return std::clamp(left, std::min(guaranteed(limit), limit), limit);
+}
+
+auto slot_split::may_start(work_kind kind, int limit,
+                           const kind_counts& running,
+                           const kind_counts& waiting) const -> bool {
+  auto free = limit - sum(running);
+  if (free <= 0) return false;
+  if (running[index(kind)] >= share(kind, limit)) return false;
+  for (const auto other : {work_kind::internal, work_kind::long_running}) {
+    if (other == kind || waiting[index(other)] == 0) continue;
+    const auto owed = guaranteed(limit) - running[index(other)];
+    // Work that is owed its slots gets them first, but never the last one.
+    if (limit > 1) free -= std::max(owed, 0);
+  }
+  return free > 0 || running[index(kind)] == 0;
+}
+
+auto slot_split::mean_held(work_kind kind) const -> duration {
+  return demand_[index(kind)].held.last_mean();
+}
+
+}  // namespace figwind
