--- a/include/figwind/call_state.h
+++ b/include/figwind/call_state.h
@@ -72,7 +72,7 @@
   call_action_kind kind = call_action_kind::try_server;
   attempt_number attempt = 0;
   /// Server of `attempt`, for `cancel_attempt`.
-  node_id server;
+  node_id server{};
   call_status status = call_status::unknown;
   refusal reason = refusal::none;
 
@@ -155,6 +155,7 @@
     node_id server;
     fate known = fate::waiting;
     int handed = 0;
+    bool cancelled = false;
   };
 
   auto find(attempt_number number) -> attempt*;
--- a/include/figwind/retry.h
+++ b/include/figwind/retry.h
@@ -4,9 +4,9 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
+#include <set>
 #include <unordered_map>
-#include <vector>
+#include <utility>
 
 #include "figwind/call.h"
 #include "figwind/ids.h"
@@ -95,18 +95,13 @@
     int out = 0;
     time_point expires;
   };
-  struct expiry {
-    parent_token token = 0;
-    time_point expires;
-  };
-
   void expire(time_point now);
   auto find(parent_token parent, time_point now) -> entry*;
 
   std::size_t capacity_;
   parent_token next_;
   std::unordered_map<parent_token, entry> held_;
-  std::vector<expiry> by_expiry_;  // heap, earliest first
+  std::set<std::pair<time_point, parent_token>> by_expiry_;
 };
 
 /// Settings of the retry share of one service.
