Hand down half of a retry allowance and split it without reserve

Cause: with all-but-one handed down, the upper three hops hold the whole allowance and repeat 13 to 16 calls for each failing leaf.

Change: a call hands down the larger half, a backend server's first downstream call takes all that is left; one retry stays at the entry, one at the next hop and one reaches the hop with the fault.

--- a/bench/routing-bench.cc
+++ b/bench/routing-bench.cc
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr auto requests = 2000;
+constexpr auto requests = 20'000;
 
 struct chain_figures {
   /// Calls at the busiest hop, worst request.
@@ -62,13 +62,21 @@
 }
 
 void print_policies() {
-  const auto names = std::vector<std::pair<std::string, hand_down>>{
-      {"all", hand_down::all},
-      {"all_but_one", hand_down::all_but_one},
-      {"half", hand_down::half}};
-  for (const auto& [name, policy] : names) {
+  struct combination {
+    std::string name;
+    hand_down policy;
+    hand_down split;
+  };
+  const auto combinations = std::vector<combination>{
+      {"all_split_all", hand_down::all, hand_down::all},
+      {"all_but_one_split_half", hand_down::all_but_one, hand_down::half},
+      {"all_but_one_split_all", hand_down::all_but_one, hand_down::all},
+      {"half_split_all", hand_down::half, hand_down::all},
+      {"half_split_half", hand_down::half, hand_down::half}};
+  for (const auto& [name, policy, split] : combinations) {
     auto shape = chain_shape{};
     shape.policy = policy;
+    shape.split = split;
     shape.loss = 0.01;
     shape.leaf_failure = 0.01;
     const auto faulty = measure(shape);
--- a/include/figwind/retry.h
+++ b/include/figwind/retry.h
@@ -30,7 +30,13 @@
 };
 
 /// The policy that measured best; docs/decisions/retries.md has the figures.
-constexpr auto default_hand_down = hand_down::all_but_one;
+constexpr auto default_hand_down = hand_down::half;
+
+/// How a ledger splits an allowance between downstream calls.
+constexpr auto default_split = hand_down::all;
+
+/// The part of `remaining` that `policy` hands down.
+auto part_of(int remaining, hand_down policy) -> int;
 
 /// The allowance of one call at the node that makes its attempts. What is
 /// handed down is gone unless the answer brings it back, so the sum over the
@@ -69,14 +75,15 @@
 class allowance_ledger {
  public:
   /// `random` makes tokens of an earlier start of the process unusable.
-  allowance_ledger(std::size_t capacity, random_source& random);
+  allowance_ledger(std::size_t capacity, random_source& random,
+                   hand_down split = default_split);
 
   /// Holds `granted` until `close` or `expires`. Returns 0, which grants
   /// nothing, when `capacity` requests are held.
   auto open(int granted, time_point now, time_point expires) -> parent_token;
 
-  /// The part of the allowance for one downstream call: the larger half while
-  /// siblings may follow. 0 for an unknown or expired parent.
+  /// The part of the allowance for one downstream call. 0 for an unknown or
+  /// expired parent.
   auto take(parent_token parent, time_point now) -> int;
 
   /// Returns what a downstream call did not spend, at most what it took.
@@ -99,6 +106,7 @@
   auto find(parent_token parent, time_point now) -> entry*;
 
   std::size_t capacity_;
+  hand_down split_;
   parent_token next_;
   std::unordered_map<parent_token, entry> held_;
   std::set<std::pair<time_point, parent_token>> by_expiry_;
--- a/src/decisions/retry.cc
+++ b/src/decisions/retry.cc
@@ -4,13 +4,23 @@
 
 namespace figwind {
 
+auto part_of(int remaining, hand_down policy) -> int {
+  switch (policy) {
+    case hand_down::all:
+      return remaining;
+    case hand_down::all_but_one:
+      return std::max(remaining - 1, 0);
+    case hand_down::half:
+      return (remaining + 1) / 2;
+  }
+  return 0;
+}
+
 call_allowance::call_allowance(int granted, hand_down policy)
     : remaining_{std::max(granted, 0)}, policy_{policy} {}
 
 auto call_allowance::hand() -> int {
-  auto handed = remaining_;
-  if (policy_ == hand_down::all_but_one) handed = std::max(remaining_ - 1, 0);
-  if (policy_ == hand_down::half) handed = (remaining_ + 1) / 2;
+  const auto handed = part_of(remaining_, policy_);
   remaining_ -= handed;
   return handed;
 }
@@ -29,8 +39,9 @@
   remaining_ += std::clamp(returned, 0, std::max(handed, 0));
 }
 
-allowance_ledger::allowance_ledger(std::size_t capacity, random_source& random)
-    : capacity_{capacity}, next_{random.bits() | 1U} {}
+allowance_ledger::allowance_ledger(std::size_t capacity, random_source& random,
+                                   hand_down split)
+    : capacity_{capacity}, split_{split}, next_{random.bits() | 1U} {}
 
 void allowance_ledger::expire(time_point now) {
   while (!by_expiry_.empty() && by_expiry_.begin()->first <= now) {
@@ -59,7 +70,7 @@
 auto allowance_ledger::take(parent_token parent, time_point now) -> int {
   auto* held = find(parent, now);
   if (held == nullptr) return 0;
-  const auto part = (held->remaining + 1) / 2;
+  const auto part = part_of(held->remaining, split_);
   held->remaining -= part;
   held->out += part;
   return part;
--- a/test/call_chain.h
+++ b/test/call_chain.h
@@ -22,12 +22,13 @@
   /// Hop whose answers never arrive, as across a partition; -1 for none.
   int cut_off = -1;
   hand_down policy = default_hand_down;
+  hand_down split = default_split;
 };
 
 class call_chain {
  public:
   call_chain(chain_shape shape, std::uint64_t seed)
-      : shape_{shape}, random_{seed}, ledger_{4096, random_} {}
+      : shape_{shape}, random_{seed}, ledger_{4096, random_, shape.split} {}
 
   /// One caller request; true when a whole answer came back.
   auto request(int bound = chain_retry_bound) -> bool {
--- a/test/retry-test.cc
+++ b/test/retry-test.cc
@@ -52,7 +52,7 @@
 // Guards against allowance that appears from a peer's or an owner's mistake.
 TEST(allowance_ledger, never_grants_more_than_was_opened) {
   auto random = random_source{3};
-  auto ledger = allowance_ledger{2, random};
+  auto ledger = allowance_ledger{2, random, hand_down::half};
   const auto now = time_point{0};
   section("given 3 for a request that may run 100 ms", [&] {
     const auto parent = ledger.open(3, now, now + milliseconds(100));
