--- /dev/null
+++ b/include/figwind/consensus.h
@@ -0,0 +1,330 @@
+// Replicated log with a leader (Raft: Ongaro and Ousterhout, "In Search of an
+// Understandable Consensus Algorithm", USENIX ATC 2014; pre-vote, check-quorum
+// and changes of one member at a time: Ongaro's thesis, 2014).
+//
+// Drive one `consensus` from one thread. After each call, in this order:
+//   1. hand `output.persist` to the storage and, once it is durable, call
+//      `persisted(batch)`; on an error call `storage_failed()`;
+//   2. send `output.send`;
+//   3. restore or apply to the state machine: `output.restore`, then
+//      `output.apply`;
+//   4. answer those who wait for `output.settled`.
+// Messages that depend on a batch are held back here and come out of
+// `persisted`, so whatever is in `send` may go out at once.
+
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "figwind/consensus_messages.h"
+#include "figwind/random.h"
+#include "figwind/units.h"
+
+namespace figwind {
+
+struct consensus_settings {
+  member_id self;
+  vm_address address;
+  /// Members named by the settings: used only to form a new cluster.
+  std::vector<member> first_members;
+  duration heartbeat = milliseconds(50);
+  /// A follower starts an election after a random wait between the two.
+  duration election_min = milliseconds(250);
+  duration election_max = milliseconds(500);
+  /// Entries of one append request; a message stays below 1 MiB.
+  std::size_t append_bytes = 256U << 10U;
+  std::size_t chunk_bytes = 64U << 10U;
+  /// Largest proposal.
+  std::size_t entry_bytes = 512U << 10U;
+};
+
+/// What must survive a restart besides entries and snapshot.
+struct hard_state {
+  log_term term = 0;
+  member_id vote;
+  disk_generation generation;
+  /// First members that this disk agreed to; kept until the cluster is formed.
+  membership first_members;
+
+  friend auto operator==(const hard_state&, const hard_state&)
+      -> bool = default;
+};
+
+/// Everything that the storage holds at a start; all empty on an empty disk.
+struct durable_state {
+  hard_state state;
+  std::optional<log_snapshot> snapshot;
+  /// Entries after the snapshot, without gaps.
+  std::vector<log_entry> entries;
+};
+
+/// One unit of durable work; either all of it or none survives a crash.
+struct persist_batch {
+  /// Counts up by 1; acknowledged with `persisted`.
+  std::uint64_t number = 0;
+  std::optional<hard_state> state;
+  /// With a snapshot, `state` is set, and `state` and `entries` replace the
+  /// whole log.
+  std::optional<log_snapshot> snapshot;
+  /// Appended; the first one replaces the stored entry of the same index and
+  /// all after it.
+  std::vector<log_entry> entries;
+};
+
+struct outgoing {
+  member_id to;
+  consensus_message message;
+};
+
+/// What became of a proposal.
+struct settled_proposal {
+  log_index index = 0;
+  /// False when leadership was lost first: it may still be accepted, and the
+  /// caller resends it with the same request id to learn the outcome.
+  bool accepted = false;
+};
+
+enum class member_role : std::uint8_t {
+  follower,
+  trial_candidate,
+  candidate,
+  leader,
+};
+
+/// What this member may do.
+enum class member_standing : std::uint8_t {
+  /// New disk; waits until all first members agreed to form the cluster.
+  forming,
+  /// Restarted; asks the others whether its disk is the one they knew.
+  checking,
+  /// Lost or rolled-back disk, or not a member: waits to be admitted.
+  waiting,
+  /// Receives the log and does not vote.
+  learner,
+  voter,
+  /// The storage failed: neither votes nor accepts until it is restarted.
+  stopped,
+};
+
+auto to_string(member_role x) -> std::string;
+auto to_string(member_standing x) -> std::string;
+
+/// A change of leadership as seen here.
+struct leadership_news {
+  log_term term = 0;
+  /// 0 when no leader is known.
+  member_id leader;
+  /// True when this member was the leader and lost touch with the majority.
+  bool isolated = false;
+};
+
+struct consensus_output {
+  std::optional<persist_batch> persist;
+  std::vector<outgoing> send;
+  std::optional<log_snapshot> restore;
+  /// Accepted entries in order, of all kinds.
+  std::vector<log_entry> apply;
+  std::vector<settled_proposal> settled;
+  std::vector<leadership_news> news;
+};
+
+enum class proposal_status : std::uint8_t {
+  /// In the log of the leader; `settled` tells the outcome for its index.
+  pending,
+  not_leader,
+  too_large,
+  /// Another change of members is in progress, or the leader is too new.
+  busy,
+  /// No such member, or it is one already.
+  bad_member,
+};
+
+struct proposal {
+  proposal_status status = proposal_status::not_leader;
+  log_index index = 0;
+  consensus_output output;
+};
+
+class consensus {
+ public:
+  consensus(consensus_settings settings, durable_state from_disk,
+            random_source random, time_point now);
+
+  /// Call it every 10 ms or so.
+  auto tick(time_point now) -> consensus_output;
+  auto receive(const consensus_message& message, time_point now)
+      -> consensus_output;
+  /// All batches up to `batch` are durable.
+  auto persisted(std::uint64_t batch) -> consensus_output;
+  /// A batch could not be made durable; final for this object.
+  auto storage_failed() -> consensus_output;
+
+  /// Adds `bytes` to the log; leaders only.
+  auto propose(std::string bytes) -> proposal;
+  /// Adds a learner that becomes a voter once it holds all accepted entries;
+  /// then `replaces` is removed, unless it is 0. Leaders only.
+  auto add_member(member_id id, const vm_address& address, member_id replaces)
+      -> proposal;
+  /// Leaders only.
+  auto remove_member(member_id id) -> proposal;
+  /// Replaces the log up to `applied()` by a snapshot with `state`.
+  auto compact(std::string state) -> consensus_output;
+
+  auto role() const -> member_role { return role_; }
+  auto standing() const -> member_standing;
+  auto term() const -> log_term { return state_.term; }
+  auto generation() const -> disk_generation { return state_.generation; }
+  /// The leader as known here; 0 when unknown.
+  auto leader() const -> member_id { return leader_; }
+  auto applied() const -> log_index { return applied_; }
+  auto last_index() const -> log_index;
+  auto snapshot_index() const -> log_index;
+  /// Bytes of the entries since the snapshot.
+  auto log_bytes() const -> std::size_t { return log_bytes_; }
+  /// The membership in force here; empty before the cluster is formed.
+  auto members() const -> const membership&;
+
+ private:
+  struct follower_state {
+    log_index next = 1;
+    log_index acknowledged = 0;
+    time_point last_reply;
+    bool sending_snapshot = false;
+    std::uint64_t offset = 0;
+    time_point last_chunk;
+  };
+  struct seen_disk {
+    disk_generation generation;
+    log_index acknowledged = 0;
+  };
+  struct held_message {
+    std::uint64_t batch = 0;
+    outgoing out;
+  };
+  struct batch_mark {
+    std::uint64_t batch = 0;
+    log_index last_index = 0;
+    log_term vote_term = 0;
+    std::optional<log_snapshot> restore;
+  };
+  struct member_entry {
+    log_index index = 0;
+    membership members;
+  };
+  struct incoming_snapshot {
+    log_index index = 0;
+    member_id from;
+    log_term term = 0;
+    std::string bytes;
+  };
+
+  // consensus.cc: state, log and output.
+  auto header() const -> message_header;
+  auto finish() -> consensus_output;
+  void release_held();
+  void send(member_id to, consensus_message message);
+  void send_durable(member_id to, consensus_message message);
+  void store_state() { state_changed_ = true; }
+  auto entry_at(log_index index) const -> const log_entry&;
+  auto term_at(log_index index) const -> log_term;
+  auto last_term() const -> log_term { return term_at(last_index()); }
+  void append_entry(log_entry entry);
+  void truncate_from(log_index index);
+  void apply_committed();
+  void adopt_snapshot(log_snapshot snapshot);
+  void become_follower(log_term term, member_id leader, bool isolated);
+  void set_leader(member_id leader, bool isolated);
+  void fail_pending();
+  auto is_current(const message_header& h) const -> bool;
+  auto may_vote() const -> bool;
+  auto random_wait() -> duration;
+  void note_leader_contact(const message_header& h);
+
+  // consensus_election.cc
+  void start_trial();
+  void start_election();
+  void request_votes(bool trial, log_term election);
+  void count_votes();
+  void become_leader();
+  void handle(const vote_request& m);
+  void handle(const vote_reply& m);
+
+  // consensus_replication.cc
+  void lead(bool heartbeat_due);
+  void check_quorum();
+  void send_entries(member_id to, bool heartbeat);
+  void send_chunk(member_id to);
+  void advance_commit();
+  void advance_members();
+  auto propose_members(membership next) -> log_index;
+  auto members_settled() const -> bool;
+  void handle(const append_request& m);
+  void handle(const append_reply& m);
+  void handle(const snapshot_chunk& m);
+  void handle(const snapshot_reply& m);
+
+  // consensus_identity.cc
+  void ask_identity();
+  void agree_first_members();
+  void form(const membership& first);
+  void start_new_disk();
+  void handle(const identity_request& m);
+  void handle(const identity_reply& m);
+  void note_progress(member_id id, disk_generation g, log_index index);
+  auto acknowledged_by(member_id id, disk_generation g) const -> log_index;
+
+  consensus_settings settings_;
+  random_source random_;
+  time_point now_;
+  hard_state state_;
+  bool state_changed_ = false;
+  bool stopped_ = false;
+  // Set while the disk has not been compared with what the others know of it.
+  bool checking_ = false;
+  // Set while the disk may not vote although members agree on an older one.
+  bool waiting_ = false;
+  // A rolled-back disk may have voted up to this term already.
+  log_term vote_floor_ = 0;
+
+  std::optional<log_snapshot> snapshot_;
+  std::string encoded_snapshot_;
+  std::vector<log_entry> log_;
+  std::size_t log_bytes_ = 0;
+  std::vector<member_entry> member_entries_;
+  log_index commit_ = 0;
+  log_index applied_ = 0;
+  log_index durable_index_ = 0;
+
+  member_role role_ = member_role::follower;
+  member_id leader_;
+  time_point last_contact_;
+  time_point election_due_;
+  time_point heartbeat_due_;
+  time_point identity_due_;
+  std::set<member_id> votes_;
+  log_term durable_vote_term_ = 0;
+  std::map<member_id, follower_state> followers_;
+  std::map<member_id, seen_disk> seen_;
+  std::map<member_id, disk_generation> joining_;
+  std::map<member_id, identity_request> new_members_;
+  std::set<member_id> confirmed_by_;
+  std::set<log_index> pending_;
+  std::optional<incoming_snapshot> incoming_;
+
+  std::uint64_t issued_ = 0;
+  std::uint64_t persisted_ = 0;
+  std::optional<log_index> first_unstored_;
+  std::optional<log_snapshot> snapshot_to_store_;
+  std::vector<outgoing> unreleased_;
+  std::deque<held_message> held_;
+  std::deque<batch_mark> marks_;
+  consensus_output output_;
+};
+
+}  // namespace figwind
--- /dev/null
+++ b/include/figwind/consensus_messages.h
@@ -0,0 +1,237 @@
+// Members, log entries and messages of the replicated log in consensus.h.
+
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "figwind/finding.h"
+#include "figwind/ids.h"
+
+namespace figwind {
+
+/// A control member, as `control_peer::id` names it; 0 is nobody.
+using member_id = strong<struct member_id_tag, std::uint64_t>;
+
+/// Identity of one disk of a member: random, chosen when the data folder is
+/// found empty, never 0.
+using disk_generation = strong<struct disk_generation_tag, std::uint64_t>;
+
+using log_index = std::uint64_t;
+using log_term = std::uint64_t;
+
+/// One member as the log agrees on it.
+struct member {
+  member_id id;
+  vm_address address;
+  /// The disk whose votes and acknowledgements count; 0 until it is known.
+  disk_generation generation;
+  /// Learners receive the log and count in no majority.
+  bool voter = false;
+  /// Member that is removed once this one is a voter; 0 is nobody.
+  member_id replaces;
+
+  friend auto operator==(const member&, const member&) -> bool = default;
+};
+
+/// All members; the last membership in the log is in force.
+struct membership {
+  std::vector<member> members;
+
+  friend auto operator==(const membership&, const membership&)
+      -> bool = default;
+};
+
+auto find_member(const membership& all, member_id id) -> const member*;
+auto voter_count(const membership& all) -> std::size_t;
+/// Voters needed to accept a change: more than half.
+auto majority(const membership& all) -> std::size_t;
+
+enum class entry_kind : std::uint8_t {
+  /// Opens the term of a new leader; has no bytes.
+  term_start,
+  /// Bytes of the state machine.
+  command,
+  /// An encoded `membership`.
+  members,
+};
+
+struct log_entry {
+  log_index index = 0;
+  log_term term = 0;
+  entry_kind kind = entry_kind::term_start;
+  std::string bytes;
+
+  friend auto operator==(const log_entry&, const log_entry&) -> bool = default;
+};
+
+/// State of the state machine after `index`, and the members at that point.
+struct log_snapshot {
+  log_index index = 0;
+  log_term term = 0;
+  membership members;
+  std::string state;
+
+  friend auto operator==(const log_snapshot&, const log_snapshot&)
+      -> bool = default;
+};
+
+auto encode(const membership& x) -> std::string;
+auto decode_membership(const std::string& bytes) -> result<membership>;
+auto encode(const log_snapshot& x) -> std::string;
+auto decode_snapshot(const std::string& bytes) -> result<log_snapshot>;
+
+/// Begins each message.
+struct message_header {
+  member_id from;
+  disk_generation generation;
+  log_term term = 0;
+};
+
+/// Asks for a vote, or with `trial` whether a vote would be given.
+struct vote_request {
+  message_header header;
+  /// Term of the election; one above the header's term in a trial.
+  log_term election = 0;
+  log_index last_index = 0;
+  log_term last_term = 0;
+  bool trial = false;
+};
+
+struct vote_reply {
+  message_header header;
+  log_term election = 0;
+  bool granted = false;
+  bool trial = false;
+};
+
+/// Highest index that a member acknowledged, as its leader knows it.
+struct member_progress {
+  member_id id;
+  disk_generation generation;
+  log_index acknowledged = 0;
+};
+
+/// Entries after `previous_index`, or a heartbeat when there are none.
+struct append_request {
+  message_header header;
+  log_index previous_index = 0;
+  log_term previous_term = 0;
+  log_index commit = 0;
+  std::vector<log_entry> entries;
+  std::vector<member_progress> progress;
+};
+
+struct append_reply {
+  message_header header;
+  bool accepted = false;
+  /// The entries up to `index` are durable; when not accepted, the last index
+  /// that may match the leader's log.
+  log_index index = 0;
+  /// Last entry on the sender's disk.
+  log_index last_index = 0;
+  /// True when the sender has no membership yet and needs the snapshot.
+  bool needs_snapshot = false;
+};
+
+/// A part of an encoded `log_snapshot`.
+struct snapshot_chunk {
+  message_header header;
+  log_index index = 0;
+  std::uint64_t offset = 0;
+  std::uint64_t total = 0;
+  std::string bytes;
+};
+
+struct snapshot_reply {
+  message_header header;
+  log_index index = 0;
+  /// The next byte that is wanted; `total` once the snapshot is durable.
+  std::uint64_t offset = 0;
+};
+
+/// Sent by a member that may not vote yet: asks what is known of its disk.
+struct identity_request {
+  message_header header;
+  vm_address address;
+  /// True when the disk holds no membership.
+  bool is_new = false;
+  /// First members that this new member agreed to; empty before.
+  membership first_members;
+  log_index last_index = 0;
+};
+
+struct identity_reply {
+  message_header header;
+  /// Generation of the asking disk that is answered.
+  disk_generation asked;
+  /// Generation that the log agrees on for the asking member; 0 for none.
+  disk_generation agreed;
+  /// Accepted entries up to here were acknowledged by the asking disk.
+  log_index acknowledged = 0;
+};
+
+using consensus_message =
+    std::variant<vote_request, vote_reply, append_request, append_reply,
+                 snapshot_chunk, snapshot_reply, identity_request,
+                 identity_reply>;
+
+auto header_of(const consensus_message& x) -> const message_header&;
+
+template <class Inspector>
+auto inspect(Inspector& f, member& x) {
+  return f(x.id, x.address, x.generation, x.voter, x.replaces);
+}
+template <class Inspector>
+auto inspect(Inspector& f, membership& x) {
+  return f(x.members);
+}
+template <class Inspector>
+auto inspect(Inspector& f, log_entry& x) {
+  return f(x.index, x.term, x.kind, x.bytes);
+}
+template <class Inspector>
+auto inspect(Inspector& f, message_header& x) {
+  return f(x.from, x.generation, x.term);
+}
+template <class Inspector>
+auto inspect(Inspector& f, vote_request& x) {
+  return f(x.header, x.election, x.last_index, x.last_term, x.trial);
+}
+template <class Inspector>
+auto inspect(Inspector& f, vote_reply& x) {
+  return f(x.header, x.election, x.granted, x.trial);
+}
+template <class Inspector>
+auto inspect(Inspector& f, member_progress& x) {
+  return f(x.id, x.generation, x.acknowledged);
+}
+template <class Inspector>
+auto inspect(Inspector& f, append_request& x) {
+  return f(x.header, x.previous_index, x.previous_term, x.commit, x.entries,
+           x.progress);
+}
+template <class Inspector>
+auto inspect(Inspector& f, append_reply& x) {
+  return f(x.header, x.accepted, x.index, x.last_index, x.needs_snapshot);
+}
+template <class Inspector>
+auto inspect(Inspector& f, snapshot_chunk& x) {
+  return f(x.header, x.index, x.offset, x.total, x.bytes);
+}
+template <class Inspector>
+auto inspect(Inspector& f, snapshot_reply& x) {
+  return f(x.header, x.index, x.offset);
+}
+template <class Inspector>
+auto inspect(Inspector& f, identity_request& x) {
+  return f(x.header, x.address, x.is_new, x.first_members, x.last_index);
+}
+template <class Inspector>
+auto inspect(Inspector& f, identity_reply& x) {
+  return f(x.header, x.asked, x.agreed, x.acknowledged);
+}
+
+}  // namespace figwind
--- /dev/null
+++ b/include/figwind/storage.h
@@ -0,0 +1,183 @@
+// Durable state of a control member in one folder: the log, the hard state and
+// the last snapshot.
+//
+// Files: `log` holds one checksummed frame a batch; `snapshot` holds one frame.
+// Both are replaced through `*.new`, sync, rename, sync of the folder. A frame
+// is written only after the one before it was synced, so damage before an
+// intact frame is corruption and damage at the end is a torn write.
+
+#pragma once
+
+#include <concepts>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "figwind/consensus.h"
+#include "figwind/finding.h"
+
+namespace figwind {
+
+enum class io_status : std::uint8_t { done, no_space, failed };
+
+auto to_string(io_status x) -> std::string;
+
+/// Bytes of a file; `found` is false when there is none.
+struct file_content {
+  io_status status = io_status::done;
+  bool found = false;
+  std::string bytes;
+};
+
+/// One flat folder of files. Nothing survives a crash for certain before it is
+/// synced: bytes by `sync`, new names and renames by `sync_folder`.
+template <class T>
+concept file_port = requires(T files, const std::string& name,
+                             const std::string& bytes, std::uint64_t size) {
+  { files.read(name) } -> std::same_as<file_content>;
+  /// Creates the file when there is none.
+  { files.append(name, bytes) } -> std::same_as<io_status>;
+  { files.truncate(name, size) } -> std::same_as<io_status>;
+  { files.sync(name) } -> std::same_as<io_status>;
+  { files.rename(name, name) } -> std::same_as<io_status>;
+  /// Succeeds when there is no such file.
+  { files.remove(name) } -> std::same_as<io_status>;
+  { files.sync_folder() } -> std::same_as<io_status>;
+};
+
+constexpr auto log_name = "log";
+constexpr auto snapshot_name = "snapshot";
+
+namespace detail {
+
+/// What was read from `log`: intact frames up to `intact_size`.
+struct scanned_log {
+  hard_state state;
+  std::vector<log_entry> entries;
+  std::uint64_t next_frame = 0;
+  std::uint64_t intact_size = 0;
+  /// Offset of a damaged frame that intact ones follow.
+  std::optional<std::uint64_t> damage;
+};
+
+auto encode_frame(std::uint64_t number, const std::string& payload)
+    -> std::string;
+/// The payload of a file that is one frame.
+auto decode_frame(const std::string& bytes) -> std::optional<std::string>;
+auto encode_batch(const persist_batch& batch) -> std::string;
+auto scan_log(const std::string& bytes) -> scanned_log;
+/// The state that snapshot file and log give together; adds a finding for
+/// damage and for a gap between the two.
+auto join_files(const file_content& snapshot, const scanned_log& log,
+                findings& found) -> durable_state;
+
+}  // namespace detail
+
+/// The storage on top of a file port. After an error it stays failed, since a
+/// failed sync leaves unknown bytes: open the folder again to go on.
+template <file_port Files>
+class storage {
+ public:
+  explicit storage(Files& files) : files_{files} {}
+
+  /// Reads the folder, removes a torn tail and unfinished `*.new` files.
+  /// Findings name file and offset of damage, and errors of the disk.
+  auto open() -> result<durable_state>;
+
+  /// Makes `batch` durable; `done` only after all syncs.
+  auto write(const persist_batch& batch) -> io_status;
+
+  /// The error that stopped the storage, or `done`.
+  auto status() const -> io_status { return status_; }
+
+  /// Size of the log file.
+  auto log_size() const -> std::uint64_t { return log_size_; }
+
+ private:
+  auto check(io_status status) -> bool;
+  auto read_file(const std::string& name, findings& found) -> file_content;
+  auto replace_file(const std::string& name, const std::string& bytes) -> bool;
+
+  Files& files_;
+  io_status status_ = io_status::done;
+  std::uint64_t next_frame_ = 0;
+  std::uint64_t log_size_ = 0;
+  bool log_exists_ = false;
+};
+
+template <file_port Files>
+auto storage<Files>::check(io_status status) -> bool {
+  if (status_ == io_status::done) status_ = status;
+  return status_ == io_status::done;
+}
+
+template <file_port Files>
+auto storage<Files>::read_file(const std::string& name, findings& found)
+    -> file_content {
+  auto content = files_.read(name);
+  if (!check(content.status)) {
+    found.push_back({{name, 0, "", ""}, "cannot be read"});
+  }
+  return content;
+}
+
+template <file_port Files>
+auto storage<Files>::replace_file(const std::string& name,
+                                  const std::string& bytes) -> bool {
+  auto fresh = name + ".new";
+  return check(files_.remove(fresh)) && check(files_.append(fresh, bytes)) &&
+         check(files_.sync(fresh)) && check(files_.rename(fresh, name)) &&
+         check(files_.sync_folder());
+}
+
+template <file_port Files>
+auto storage<Files>::open() -> result<durable_state> {
+  status_ = io_status::done;
+  auto found = findings{};
+  auto snapshot_file = read_file(snapshot_name, found);
+  auto log_file = read_file(log_name, found);
+  if (!found.empty()) return found;
+  auto log = detail::scan_log(log_file.bytes);
+  auto state = detail::join_files(snapshot_file, log, found);
+  if (!found.empty()) return found;
+  auto usable = check(files_.remove(std::string{snapshot_name} + ".new")) &&
+                check(files_.remove(std::string{log_name} + ".new"));
+  if (usable && log.intact_size < log_file.bytes.size()) {
+    usable = check(files_.truncate(log_name, log.intact_size)) &&
+             check(files_.sync(log_name));
+  }
+  // A rename before the crash may not be durable yet.
+  usable = usable && check(files_.sync_folder());
+  if (!usable) {
+    return findings{
+        {{log_name, 0, "", ""}, "cannot be prepared: " + to_string(status_)}};
+  }
+  log_exists_ = log_file.found;
+  log_size_ = log.intact_size;
+  next_frame_ = log.next_frame;
+  return state;
+}
+
+template <file_port Files>
+auto storage<Files>::write(const persist_batch& batch) -> io_status {
+  if (status_ != io_status::done) return status_;
+  auto frame = detail::encode_frame(next_frame_, detail::encode_batch(batch));
+  if (batch.snapshot) {
+    auto bytes = detail::encode_frame(0, encode(*batch.snapshot));
+    if (!replace_file(snapshot_name, bytes)) return status_;
+    if (!replace_file(log_name, frame)) return status_;
+    log_size_ = 0;
+    log_exists_ = true;
+  } else {
+    if (!check(files_.append(log_name, frame))) return status_;
+    if (!check(files_.sync(log_name))) return status_;
+    if (!log_exists_ && !check(files_.sync_folder())) return status_;
+    log_exists_ = true;
+  }
+  ++next_frame_;
+  log_size_ += frame.size();
+  return status_;
+}
+
+}  // namespace figwind
