--- a/include/figwind/membership.h
+++ b/include/figwind/membership.h
@@ -49,6 +49,8 @@
   std::uint64_t beat = 0;
   /// Configuration in force at the node.
   config_version version;
+  /// Highest configuration that the node has received.
+  config_version received;
   /// Newest recorder group record that the node holds.
   std::uint64_t groups_version = 0;
   /// Registry epoch in which the cursors count.
@@ -59,6 +61,8 @@
 /// Changes of one service, or its full list when 0 was asked for.
 struct service_changes {
   service_name service;
+  /// The cursor that was asked with.
+  std::uint64_t since = 0;
   /// Cursor to ask with the next time.
   std::uint64_t cursor = 0;
   /// True when the message was full; the node asks again at once.
@@ -77,7 +81,8 @@
   std::string text;
 };
 
-/// A recorder group record, opaque to membership.
+/// A recorder group record, opaque to membership. No two records have the same
+/// version, so that a message may end after any of them.
 struct group_update {
   std::uint64_t version = 0;
   std::string record;
@@ -115,7 +120,13 @@
 struct held_server {
   server_record server;
   std::uint64_t beat = 0;
+};
+
+/// Number of the sender's nodes in `domain` with `version` in force.
+struct version_count {
+  failure_domain domain;
   config_version version;
+  std::uint32_t nodes = 0;
 };
 
 /// Control member to control member: the servers whose heartbeats the sender
@@ -129,6 +140,7 @@
   /// True while the sender may not have heard all its nodes since its start.
   bool warming = false;
   std::vector<held_server> servers;
+  std::vector<version_count> versions;
 };
 
 auto to_string(server_state x) -> std::string;
@@ -146,12 +158,13 @@
 
 template <class Inspector>
 auto inspect(Inspector& f, heartbeat& x) {
-  return f(x.self, x.beat, x.version, x.groups_version, x.epoch, x.services);
+  return f(x.self, x.beat, x.version, x.received, x.groups_version, x.epoch,
+           x.services);
 }
 
 template <class Inspector>
 auto inspect(Inspector& f, service_changes& x) {
-  return f(x.service, x.cursor, x.more, x.restart, x.servers);
+  return f(x.service, x.since, x.cursor, x.more, x.restart, x.servers);
 }
 
 template <class Inspector>
@@ -177,12 +190,18 @@
 
 template <class Inspector>
 auto inspect(Inspector& f, held_server& x) {
-  return f(x.server, x.beat, x.version);
+  return f(x.server, x.beat);
+}
+
+template <class Inspector>
+auto inspect(Inspector& f, version_count& x) {
+  return f(x.domain, x.version, x.nodes);
 }
 
 template <class Inspector>
 auto inspect(Inspector& f, domain_digest& x) {
-  return f(x.member, x.epoch, x.since, x.cursor, x.more, x.warming, x.servers);
+  return f(x.member, x.epoch, x.since, x.cursor, x.more, x.warming, x.servers,
+           x.versions);
 }
 
 }  // namespace figwind
--- a/include/figwind/node_view.h
+++ b/include/figwind/node_view.h
@@ -72,9 +72,9 @@
   /// Takes note of an answer of `server`; `draining` is what it says of itself.
   void note_answer(const node_id& server, time_point now, bool draining);
 
-  /// Sets the state of the node's own backend server; a lower state than the
-  /// present one is ignored. The next `on_tick` announces it at once. A backend
-  /// server that comes back is a new incarnation.
+  /// Sets the state of the node's own backend server; the next `on_tick`
+  /// announces it at once. A drain is final for a life of the node: after it
+  /// only `gone` is taken.
   void announce(server_state state, std::uint32_t slots,
                 std::uint32_t connections);
 
@@ -127,6 +127,10 @@
 
   auto make_heartbeat(time_point now) -> heartbeat;
   void choose_member(time_point now);
+  void use_member(std::size_t index, time_point now);
+  void return_home(time_point now);
+  [[nodiscard]] auto is_home(const vm_address& member) const -> bool;
+  void take_records(const heartbeat_reply& reply, reply_effect& out);
   void enter_epoch(std::uint64_t epoch, time_point now);
   void apply(const service_changes& changes, time_point now);
   void merge(known_service& service, const server_record& news);
@@ -147,12 +151,13 @@
   std::vector<failure_domain> silent_;
   vm_address leader_;
   config_version version_;
-  config_version taken_version_;
+  config_version received_;
   std::uint64_t groups_version_ = 0;
   std::uint64_t epoch_ = 0;
   std::uint64_t beat_ = 0;
   std::uint64_t newest_reply_ = 0;
   bool urgent_ = true;
+  bool drained_ = false;
   bool heard_any_ = false;
   time_point last_heard_;
   time_point member_since_;
--- a/include/figwind/registry.h
+++ b/include/figwind/registry.h
@@ -49,6 +49,10 @@
   config_version version;
 };
 
+/// Number of nodes by version in force, for each domain.
+using version_table =
+    std::map<failure_domain, std::map<config_version, std::size_t>>;
+
 /// The registry of one control member. `epoch` must differ between the starts
 /// of the member and not be 0; `members` includes the member itself.
 class registry {
@@ -89,18 +93,20 @@
   [[nodiscard]] auto servers_in(const failure_domain& domain) const
       -> std::vector<server_record>;
 
-  /// Number of nodes by configuration version in each domain. The versions of
-  /// nodes that other members hold are as old as the last digest about them.
-  [[nodiscard]] auto versions() const
-      -> std::map<failure_domain, std::map<config_version, std::size_t>>;
+  /// Number of nodes by configuration version in each domain. The counts of
+  /// nodes that other members hold are those of their last digests.
+  [[nodiscard]] auto versions() const -> version_table;
 
-  /// Nodes whose version is below the newest, at most `limit`.
+  /// Nodes that this member holds whose version is below the newest, at most
+  /// `limit`.
   [[nodiscard]] auto lagging(std::size_t limit) const
       -> std::vector<lagging_node>;
 
-  /// Domains whose list is not complete or not recent.
-  [[nodiscard]] auto silent_domains(time_point now) const
-      -> std::vector<failure_domain>;
+  /// Domains whose list is not complete or not recent, as of the last second.
+  [[nodiscard]] auto silent_domains() const
+      -> const std::vector<failure_domain>& {
+    return silent_;
+  }
 
   [[nodiscard]] auto epoch() const -> std::uint64_t { return epoch_; }
 
@@ -111,14 +117,15 @@
     config_version version;
     /// Member that receives the heartbeats.
     vm_address holder;
+    /// Listing of the holder's digest that last named the server.
+    std::uint64_t generation = 0;
     time_point heard;
     std::uint64_t change = 0;
     std::uint64_t held_change = 0;
-    /// Time of the change to gone.
     time_point ended;
   };
   struct service_log {
-    std::map<std::uint64_t, vm_address> changes;
+    std::map<std::uint64_t, server_record> changes;
     /// Highest change whose record is no longer kept.
     std::uint64_t floor = 0;
   };
@@ -126,21 +133,41 @@
     member_place place;
     std::uint64_t epoch = 0;
     std::uint64_t cursor = 0;
+    std::uint64_t generation = 1;
     bool complete = false;
+    bool warming = true;
     time_point heard;
+    std::vector<version_count> versions;
+  };
+  /// A record of a server that has left its service for another one.
+  struct moved_server {
+    service_name service;
+    std::uint64_t change = 0;
+    time_point since;
   };
 
-  auto supersedes(const held_server& news, const entry& old) const -> bool;
-  void store(const held_server& news, const vm_address& holder, time_point now);
-  void log_change(entry& e);
+  auto make_reply(const heartbeat& beat) const -> heartbeat_reply;
+  [[nodiscard]] auto held_versions() const -> version_table;
+  void store(const held_server& news, const vm_address& holder,
+             std::uint64_t generation, time_point now);
+  void log_change(entry& e, time_point now);
   void log_held(entry& e);
-  void unlog(entry& e);
+  void unlog(const entry& e);
+  void leave_service(const entry& e, time_point now);
+  void end(entry& e, time_point now);
   void expire_leases(time_point now);
   void drop_ended(time_point now);
-  void end(entry& e, time_point now);
+  void end_unlisted(const peer& from, time_point now);
+  void find_silent(time_point now);
+  void restart_silent_peers(time_point now);
+  auto find_peer(const vm_address& member) -> peer*;
   auto is_live(const vm_address& member, time_point now) const -> bool;
-  auto changes_of(const service_cursor& asked, bool same_epoch,
-                  std::size_t& room) const -> service_changes;
+  auto silence_of(const vm_address& member, time_point now) const -> duration;
+  auto is_silent(const failure_domain& domain) const -> bool;
+  auto changes_of(const service_cursor& asked, std::size_t& room) const
+      -> service_changes;
+  void add_services(const heartbeat& beat, heartbeat_reply& reply,
+                    std::size_t& room) const;
   void add_configs(const heartbeat& beat, heartbeat_reply& reply,
                    std::size_t& room) const;
   void add_groups(const heartbeat& beat, heartbeat_reply& reply,
@@ -151,13 +178,15 @@
   std::uint64_t epoch_;
   registry_options options_;
   time_point started_;
-  time_point next_request_;
-  time_point next_sweep_;
+  time_point next_second_;
   vm_address leader_;
-  std::uint64_t last_change_ = 0;
+  /// Starts above 0, which stands for a full list.
+  std::uint64_t last_change_ = 1;
   std::unordered_map<vm_address, entry> entries_;
   std::unordered_map<service_name, service_log> services_;
   std::map<std::uint64_t, vm_address> held_;
+  std::deque<moved_server> moved_;
+  std::vector<failure_domain> silent_;
   config_record config_;
   std::deque<config_record> config_changes_;
   std::map<std::string, std::uint64_t> group_versions_;
--- /dev/null
+++ b/src/decisions/node_view.cc
@@ -0,0 +1,302 @@
+#include "figwind/node_view.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace figwind {
+
+namespace {
+
+auto rendezvous_hash(const vm_address& node, const vm_address& member)
+    -> std::uint64_t {
+  const auto seed = XXH64(node.value.data(), node.value.size(), 0);
+  return XXH64(member.value.data(), member.value.size(), seed);
+}
+
+/// Heartbeats of different nodes must not fall together for long.
+constexpr double period_jitter = 0.05;
+
+}  // namespace
+
+node_view::node_view(server_record self, std::vector<member_place> members,
+                     node_view_options options, random_source random)
+    : self_{std::move(self)},
+      members_{std::move(members)},
+      options_{options},
+      random_{random} {
+  std::sort(members_.begin(), members_.end(), [&](auto& a, auto& b) {
+    const auto a_home = a.domain == self_.domain;
+    const auto b_home = b.domain == self_.domain;
+    if (a_home != b_home) return a_home;
+    return rendezvous_hash(self_.node.address, a.address) >
+           rendezvous_hash(self_.node.address, b.address);
+  });
+  for (const auto& x : members_) {
+    if (x.domain == self_.domain) ++home_count_;
+  }
+}
+
+auto node_view::servers(const service_name& service, time_point now)
+    -> std::vector<usable_server> {
+  auto [found, added] = services_.try_emplace(service);
+  auto& known = found->second;
+  if (added) {
+    known.ask_at = now;
+    urgent_ = true;
+  }
+  auto out = std::vector<usable_server>{};
+  for (const auto& [address, x] : known.servers) {
+    if (!usable(x, now)) continue;
+    const auto confirmed = has_evidence(x, now) || !is_silent(x.server.domain);
+    out.push_back({x.server, confirmed});
+  }
+  return out;
+}
+
+auto node_view::knows(const service_name& service) const -> bool {
+  const auto found = services_.find(service);
+  return found != services_.end() && found->second.known;
+}
+
+void node_view::note_answer(const node_id& server, time_point now,
+                            bool draining) {
+  const auto service = service_of_.find(server.address);
+  if (service == service_of_.end()) return;
+  auto& servers = services_[service->second].servers;
+  const auto found = servers.find(server.address);
+  if (found == servers.end()) return;
+  auto& x = found->second;
+  if (server.start < x.server.node.start) return;
+  if (draining || server.start > x.server.node.start) {
+    x.ended = true;
+    return;
+  }
+  x.answered = true;
+  x.last_answer = now;
+}
+
+void node_view::announce(server_state state, std::uint32_t slots,
+                         std::uint32_t connections) {
+  if (drained_ && state != server_state::gone) return;
+  drained_ = drained_ || state == server_state::draining;
+  urgent_ = urgent_ || self_.state != state || self_.slots != slots ||
+            self_.connections != connections;
+  self_.state = state;
+  self_.slots = slots;
+  self_.connections = connections;
+}
+
+auto node_view::on_tick(time_point now) -> std::vector<outgoing<heartbeat>> {
+  if (members_.empty()) return {};
+  if (!begun_) {
+    begun_ = true;
+    last_heard_ = now;
+    member_since_ = now;
+    next_beat_ = now;
+  }
+  choose_member(now);
+  if (!urgent_ && now < next_beat_) return {};
+  const auto spread = 1 + period_jitter * (2 * random_.unit() - 1);
+  next_beat_ = now + options_.period * spread;
+  urgent_ = false;
+  auto out = std::vector<outgoing<heartbeat>>{};
+  out.push_back({members_[current_].address, make_heartbeat(now)});
+  if (current_ >= home_count_ && home_count_ > 0 && now >= next_home_) {
+    next_home_ = now + options_.home_retry * spread;
+    auto probe = make_heartbeat(now);
+    probe.services.clear();
+    out.push_back({members_[0].address, std::move(probe)});
+  }
+  return out;
+}
+
+auto node_view::make_heartbeat(time_point now) -> heartbeat {
+  auto out = heartbeat{};
+  out.self = self_;
+  out.beat = ++beat_;
+  out.version = version_;
+  out.received = received_;
+  out.groups_version = groups_version_;
+  out.epoch = epoch_;
+  for (const auto& [name, service] : services_) {
+    const auto due = service.cursor != 0 || service.ask_at <= now;
+    if (due) out.services.push_back({name, service.cursor});
+  }
+  return out;
+}
+
+void node_view::choose_member(time_point now) {
+  if (members_.size() < 2) return;
+  if (now - member_since_ <= options_.member_silence) return;
+  use_member((current_ + 1) % members_.size(), now);
+  next_home_ = now + options_.home_retry;
+}
+
+void node_view::use_member(std::size_t index, time_point now) {
+  current_ = index;
+  member_since_ = now;
+  urgent_ = true;
+  enter_epoch(0, now);
+}
+
+void node_view::enter_epoch(std::uint64_t epoch, time_point now) {
+  epoch_ = epoch;
+  for (auto& [name, service] : services_) {
+    service.cursor = 0;
+    service.complete = false;
+    ++service.generation;
+    if (!service.known) continue;
+    // Many nodes may have lost the same member at the same time.
+    service.ask_at = now + options_.list_spread * random_.unit();
+  }
+}
+
+auto node_view::on_reply(const heartbeat_reply& reply, time_point now)
+    -> reply_effect {
+  auto out = reply_effect{};
+  // An answer to an earlier life at this address counts for nothing.
+  if (reply.beat > beat_) return out;
+  heard_any_ = true;
+  last_heard_ = std::max(last_heard_, now);
+  if (!reply.leader.value.empty()) leader_ = reply.leader;
+  take_records(reply, out);
+  if (reply.member != members_[current_].address) {
+    if (current_ >= home_count_ && is_home(reply.member)) return_home(now);
+    if (reply.member != members_[current_].address) return out;
+  }
+  member_since_ = std::max(member_since_, now);
+  if (reply.epoch != epoch_) {
+    // Only the newest answer may begin an epoch: one that is late may come
+    // from before a restart of the member.
+    if (reply.beat < newest_reply_) return out;
+    enter_epoch(reply.epoch, now);
+  }
+  newest_reply_ = std::max(newest_reply_, reply.beat);
+  if (newest_reply_ == reply.beat) silent_ = reply.silent_domains;
+  for (const auto& x : reply.services) apply(x, now);
+  purge(now);
+  if (urgent_) out.heartbeats = on_tick(now);
+  return out;
+}
+
+auto node_view::is_home(const vm_address& member) const -> bool {
+  for (std::size_t i = 0; i < home_count_; ++i) {
+    if (members_[i].address == member) return true;
+  }
+  return false;
+}
+
+void node_view::return_home(time_point now) {
+  use_member(0, now);
+  urgent_ = false;
+}
+
+void node_view::take_records(const heartbeat_reply& reply, reply_effect& out) {
+  for (const auto& x : reply.configs) {
+    if (x.version <= received_) continue;
+    if (x.base.value != 0 && x.base != received_) continue;
+    received_ = x.version;
+    out.configs.push_back(x);
+  }
+  for (const auto& x : reply.groups) {
+    if (x.version <= groups_version_) continue;
+    groups_version_ = x.version;
+    out.groups.push_back(x);
+  }
+}
+
+void node_view::apply(const service_changes& changes, time_point now) {
+  const auto found = services_.find(changes.service);
+  if (found == services_.end()) return;
+  auto& service = found->second;
+  // Answers to other cursors are late or doubled.
+  if (changes.since != service.cursor) return;
+  if (changes.restart) {
+    service.cursor = 0;
+    service.complete = false;
+    ++service.generation;
+    service.ask_at = now;
+    urgent_ = true;
+    return;
+  }
+  for (const auto& x : changes.servers) merge(service, x);
+  service.cursor = changes.cursor;
+  service.complete = !changes.more;
+  service.known = service.known || service.complete;
+  urgent_ = urgent_ || changes.more;
+}
+
+void node_view::merge(known_service& service, const server_record& news) {
+  auto& x = service.servers[news.node.address];
+  const auto old = x.server.node.start;
+  if (news.node.start < old) return;
+  const auto was_draining =
+      news.node.start == old && x.server.state == server_state::draining;
+  x.generation = service.generation;
+  x.listed = true;
+  if (news.node.start > old) {
+    x.ended = false;
+    x.answered = false;
+  }
+  x.server = news;
+  // Another member may not have heard of the drain yet.
+  if (was_draining && news.state != server_state::gone) {
+    x.server.state = server_state::draining;
+  }
+  service_of_[news.node.address] = news.service;
+}
+
+void node_view::purge(time_point now) {
+  for (auto& [name, service] : services_) {
+    if (!service.complete) continue;
+    for (auto i = service.servers.begin(); i != service.servers.end();) {
+      auto& x = i->second;
+      const auto absent =
+          x.generation != service.generation && !is_silent(x.server.domain);
+      if (absent) x.listed = false;
+      const auto drop = !x.listed && !has_evidence(x, now);
+      i = drop ? service.servers.erase(i) : std::next(i);
+    }
+  }
+}
+
+auto node_view::usable(const known_server& x, time_point now) const -> bool {
+  if (x.ended) return false;
+  switch (x.server.state) {
+    case server_state::serving:
+      return x.listed || has_evidence(x, now);
+    case server_state::starting:
+      return has_evidence(x, now);
+    case server_state::draining:
+      return false;
+    case server_state::gone:
+      return x.server.expired && has_evidence(x, now);
+  }
+  return false;
+}
+
+auto node_view::has_evidence(const known_server& x, time_point now) const
+    -> bool {
+  return x.answered && now - x.last_answer <= options_.evidence;
+}
+
+auto node_view::is_silent(const failure_domain& domain) const -> bool {
+  return std::find(silent_.begin(), silent_.end(), domain) != silent_.end();
+}
+
+void node_view::note_in_force(config_version version) {
+  version_ = std::max(version_, version);
+  received_ = std::max(received_, version);
+}
+
+auto node_view::isolated(time_point now) const -> bool {
+  return begun_ && now - last_heard_ > options_.isolated_after;
+}
+
+auto node_view::member() const -> vm_address {
+  return members_.empty() ? vm_address{} : members_[current_].address;
+}
+
+}  // namespace figwind
