Choose servers by the slowness that the entry node observes

Cause: neighbours slow a server for moments and its load reports show it late.

Change: slowness is the time in flight per completion, in usual latencies, and counts calls that are still in flight; slow servers are set aside up to a third of the subset and probed. Own failure domain first, then spill-over, power of two choices, rendezvous subset.

--- /dev/null
+++ b/bench/server_fake.h
@@ -0,0 +1,332 @@
+// Servers as queues with slots and a service time, called by entry nodes of
+// several failure domains on a virtual clock.
+
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <functional>
+#include <queue>
+#include <string>
+#include <vector>
+
+#include "figwind/balancer.h"
+#include "figwind/retry.h"
+
+namespace figwind::bench {
+
+/// A deployment of section 1 of the design page, with one service.
+struct deployment {
+  std::string name;
+  int domains = 4;
+  int servers = 4;
+  int slots = 75;
+  /// One node on each VM.
+  int entry_nodes = 16;
+};
+
+inline const auto sprijin = deployment{"ro-centru", 4, 4, 75, 16};
+inline const auto zdrojowa = deployment{"pl-central", 3, 5, 70, 14};
+
+struct load_shape {
+  double calls_per_node = 250;
+  double service_ms = 40;
+  /// Exponential service times; otherwise even between half and 1.5 times.
+  bool exponential = true;
+  /// One random server is slowed `slow_factor` times in each period.
+  double slow_factor = 10;
+  double slow_ms = 0;
+  double period_ms = 2500;
+  double total_ms = 30'000;
+  bool round_robin = false;
+  bool hedging = false;
+};
+
+struct load_figures {
+  std::vector<double> latencies;
+  int attempts = 0;
+  int refused = 0;
+  int remote = 0;
+
+  auto quantile(double q) -> double {
+    const auto at = static_cast<std::ptrdiff_t>(
+        q * static_cast<double>(latencies.size() - 1));
+    std::nth_element(latencies.begin(), latencies.begin() + at,
+                     latencies.end());
+    return latencies[static_cast<std::size_t>(at)];
+  }
+};
+
+class load_run {
+ public:
+  load_run(deployment where, load_shape shape, std::uint64_t seed)
+      : where_{std::move(where)}, shape_{shape}, random_{seed} {
+    auto slow_random = random_source{seed + 1};
+    const auto periods = shape.total_ms / shape.period_ms + 2;
+    for (auto i = 0; i < static_cast<int>(periods); ++i) {
+      slow_.push_back(static_cast<int>(
+          slow_random.index(static_cast<std::size_t>(where_.servers))));
+    }
+    for (auto i = 0; i < where_.servers; ++i) {
+      infos_.push_back({{{"s" + std::to_string(i)}, {1}},
+                        {"s" + std::to_string(i)},
+                        domain(i),
+                        where_.slots,
+                        550});
+    }
+    servers_.resize(infos_.size());
+    for (auto i = 0; i < where_.entry_nodes; ++i) {
+      nodes_.push_back(node{balancer{{{"n" + std::to_string(i)}, domain(i)}}});
+      nodes_.back().routes.set_servers(service_, infos_);
+      next_arrival(i);
+    }
+  }
+
+  auto run() -> load_figures {
+    while (!events_.empty()) {
+      auto event = events_.top();
+      events_.pop();
+      now_ = event.at;
+      event.act();
+    }
+    return std::move(figures_);
+  }
+
+ private:
+  struct event {
+    double at = 0;
+    std::uint64_t order = 0;
+    std::function<void()> act;
+    auto operator<(const event& o) const -> bool {
+      return at != o.at ? at > o.at : order > o.order;
+    }
+  };
+  struct node {
+    balancer routes;
+    retry_share share{};
+    hedge_timer timer{};
+    std::size_t turn = 0;
+  };
+  struct request {
+    int node = 0;
+    double start = 0;
+    bool done = false;
+    int allowance = chain_retry_bound;
+    std::vector<node_id> tried{};
+    std::vector<std::size_t> attempts{};
+  };
+  struct attempt {
+    std::size_t request = 0;
+    std::size_t server = 0;
+    attempt_ticket ticket = 0;
+    double sent = 0;
+    double delay = 0;
+    bool over = false;
+    bool running = false;
+  };
+  struct backend {
+    int busy = 0;
+    std::deque<std::size_t> queue;
+  };
+
+  auto domain(int i) const -> failure_domain {
+    return {"d" + std::to_string(i % where_.domains)};
+  }
+
+  void at(double when, std::function<void()> act) {
+    events_.push({when, order_++, std::move(act)});
+  }
+
+  auto now() const -> time_point { return {now_}; }
+
+  void next_arrival(int n) {
+    const auto gap =
+        -std::log(1 - random_.unit()) * 1000 / shape_.calls_per_node;
+    if (now_ + gap > shape_.total_ms) return;
+    at(now_ + gap, [this, n] {
+      next_arrival(n);
+      arrive(n);
+    });
+  }
+
+  void arrive(int n) {
+    requests_.push_back({n, now_});
+    nodes_[static_cast<std::size_t>(n)].share.first_attempt();
+    send(requests_.size() - 1, true);
+  }
+
+  auto node_of(std::size_t r) -> node& {
+    return nodes_[static_cast<std::size_t>(requests_[r].node)];
+  }
+
+  auto pick(std::size_t r, bool first) -> choice {
+    auto& n = node_of(r);
+    if (!shape_.round_robin) {
+      return n.routes.choose(service_, requests_[r].tried, now(), random_,
+                             first);
+    }
+    return {&infos_[n.turn++ % infos_.size()]};
+  }
+
+  void send(std::size_t r, bool first) {
+    auto& q = requests_[r];
+    auto& n = node_of(r);
+    const auto chosen = pick(r, first);
+    if (chosen.target == nullptr) return refuse(r);
+    const auto number = attempts_.size();
+    auto a = attempt{};
+    a.request = r;
+    a.server = server_index(chosen.target->id);
+    a.sent = now_;
+    a.delay = chosen.target->domain == domain(q.node) ? 0.05 : 4.5;
+    if (!shape_.round_robin) {
+      a.ticket = n.routes.started(service_, chosen, {"lookup"}, now());
+    }
+    attempts_.push_back(a);
+    q.tried.push_back(chosen.target->id);
+    q.attempts.push_back(number);
+    ++figures_.attempts;
+    figures_.remote += a.delay > 1 ? 1 : 0;
+    at(now_ + a.delay, [this, number] { reach(number); });
+    if (first && shape_.hedging && n.timer.delay().ms > 0) {
+      at(now_ + n.timer.delay().ms, [this, r] { hedge(r); });
+    }
+  }
+
+  auto server_index(const node_id& id) const -> std::size_t {
+    return std::stoul(id.address.value.substr(1));
+  }
+
+  void hedge(std::size_t r) {
+    auto& q = requests_[r];
+    if (q.done || q.attempts.size() != 1 || q.allowance == 0) return;
+    if (!node_of(r).share.take_extra()) return;
+    --q.allowance;
+    send(r, false);
+  }
+
+  void refuse(std::size_t r) {
+    auto& q = requests_[r];
+    for (const auto a : q.attempts) {
+      if (!attempts_[a].over) return;
+    }
+    if (!q.done) ++figures_.refused;
+    q.done = true;
+  }
+
+  void reach(std::size_t a) {
+    if (attempts_[a].over) return;
+    auto& s = servers_[attempts_[a].server];
+    const auto limit = static_cast<std::size_t>(where_.slots);
+    if (s.busy < where_.slots) return start(a);
+    if (shape_.round_robin || s.queue.size() < limit) {
+      s.queue.push_back(a);
+      return;
+    }
+    at(now_ + attempts_[a].delay, [this, a] { overloaded(a); });
+  }
+
+  void overloaded(std::size_t a) {
+    if (attempts_[a].over) return;
+    attempts_[a].over = true;
+    const auto r = attempts_[a].request;
+    auto& n = node_of(r);
+    n.routes.refused(attempts_[a].ticket, refusal::overload, now());
+    n.share.ended(true);
+    auto& q = requests_[r];
+    if (q.done) return;
+    if (q.allowance == 0 || !n.share.take_extra()) return refuse(r);
+    --q.allowance;
+    send(r, false);
+  }
+
+  void start(std::size_t a) {
+    ++servers_[attempts_[a].server].busy;
+    attempts_[a].running = true;
+    const auto work = shape_.exponential
+                          ? -shape_.service_ms * std::log(1 - random_.unit())
+                          : shape_.service_ms * (0.5 + random_.unit());
+    at(end_of(attempts_[a].server, work), [this, a] { complete(a); });
+  }
+
+  /// When `work` started now ends on a server that is slowed now and then.
+  auto end_of(std::size_t s, double work) const -> double {
+    auto t = now_;
+    while (true) {
+      const auto period = static_cast<std::size_t>(t / shape_.period_ms);
+      const auto from = static_cast<double>(period) * shape_.period_ms;
+      const auto mine =
+          period < slow_.size() && slow_[period] == static_cast<int>(s);
+      const auto slow = mine && t < from + shape_.slow_ms;
+      const auto until = slow ? from + shape_.slow_ms : from + shape_.period_ms;
+      const auto factor = slow ? shape_.slow_factor : 1.0;
+      if (t + work * factor <= until) return t + work * factor;
+      work -= (until - t) / factor;
+      t = until;
+    }
+  }
+
+  void complete(std::size_t a) {
+    if (!attempts_[a].running) return;
+    leave(a);
+    at(now_ + attempts_[a].delay, [this, a] { answer(a); });
+  }
+
+  void leave(std::size_t a) {
+    attempts_[a].running = false;
+    auto& s = servers_[attempts_[a].server];
+    --s.busy;
+    while (!s.queue.empty() && s.busy < where_.slots) {
+      const auto next = s.queue.front();
+      s.queue.pop_front();
+      if (!attempts_[next].over) start(next);
+    }
+  }
+
+  void answer(std::size_t a) {
+    if (attempts_[a].over) return;
+    end_attempt(a, attempt_end::answered);
+    auto& q = requests_[attempts_[a].request];
+    node_of(attempts_[a].request).share.ended(false);
+    q.done = true;
+    figures_.latencies.push_back(now_ - q.start);
+    for (const auto other : q.attempts) {
+      if (!attempts_[other].over) cancel(other);
+    }
+  }
+
+  void end_attempt(std::size_t a, attempt_end end) {
+    attempts_[a].over = true;
+    if (shape_.round_robin) return;
+    auto& n = node_of(attempts_[a].request);
+    n.routes.finished(attempts_[a].ticket, end, now());
+    if (end == attempt_end::answered) {
+      n.timer.observe({now_ - attempts_[a].sent});
+    }
+  }
+
+  void cancel(std::size_t a) {
+    end_attempt(a, attempt_end::cancelled);
+    at(now_ + attempts_[a].delay, [this, a] {
+      if (attempts_[a].running) leave(a);
+    });
+  }
+
+  deployment where_;
+  load_shape shape_;
+  random_source random_;
+  service_name service_{"depozit"};
+  std::vector<int> slow_;
+  std::vector<server> infos_;
+  std::vector<backend> servers_;
+  std::vector<node> nodes_;
+  std::vector<request> requests_;
+  std::vector<attempt> attempts_;
+  std::priority_queue<event> events_;
+  std::uint64_t order_ = 0;
+  double now_ = 0;
+  load_figures figures_;
+};
+
+}  // namespace figwind::bench
--- /dev/null
+++ b/src/decisions/balancer.cc
@@ -0,0 +1,428 @@
+#include "figwind/balancer.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace figwind {
+
+namespace {
+
+/// Expected completions over which a server's slowness is estimated.
+constexpr auto window = 6.0;
+/// Weight of the assumption that a server is as fast as is usual.
+constexpr auto prior = 1.0;
+/// Slowness at which a server is set aside.
+constexpr auto slow_from = 2.5;
+/// A probe that takes at most this many usual latencies is a good one.
+constexpr auto good_probe = 2.0;
+/// A server 10x slower passes one probe in 5, so one is not enough.
+constexpr auto good_probes_needed = 2;
+constexpr auto first_probe_gap = milliseconds(50);
+constexpr auto last_probe_gap = milliseconds(1600);
+constexpr auto shortest_backoff = milliseconds(2);
+constexpr auto longest_backoff = milliseconds(50);
+
+/// Mean latency of one class, robust against single long ones.
+struct usual {
+  double mean_ms = 0;
+  double count = 0;
+
+  void add(double ms) {
+    constexpr auto longest_weight = 100.0;
+    // A straggler's answers count as at most 4 usual ones.
+    const auto bounded = count < 1 ? ms : std::min(ms, 4 * mean_ms);
+    count = std::min(count + 1, longest_weight);
+    mean_ms += (bounded - mean_ms) / count;
+  }
+};
+
+/// What the entry node observes of one server. Slowness is the time that its
+/// calls have spent in flight, in usual latencies, for each completion; calls
+/// still in flight count, so a stalled server shows before it answers.
+struct observed {
+  server info;
+  bool draining = false;
+  int in_flight = 0;
+  /// Sum of 1 / usual latency over the calls in flight.
+  double rate = 0;
+  double exposure = window;
+  double completions = window;
+  time_point last;
+  bool aside = false;
+  int good_probes = 0;
+  bool probe_out = false;
+  duration probe_gap = first_probe_gap;
+  time_point next_probe;
+  time_point backoff_until;
+  duration backoff = shortest_backoff;
+
+  void advance(time_point now) {
+    const auto added = rate * std::max((now - last).ms, 0.0);
+    last = std::max(last, now);
+    if (added <= 0) return;
+    const auto kept = std::exp(-added / window);
+    exposure = exposure * kept + window * (1 - kept);
+    completions *= kept;
+  }
+
+  auto slowness() const -> double {
+    return (exposure + prior) / (completions + prior);
+  }
+
+  auto full(time_point now) const -> bool {
+    return in_flight >= info.slots || now < backoff_until;
+  }
+
+  auto load() const -> double {
+    return slowness() * (in_flight + 1) / std::max(info.slots, 1);
+  }
+};
+
+using observed_ptr = std::shared_ptr<observed>;
+
+struct service_state {
+  std::vector<observed_ptr> local;
+  std::vector<observed_ptr> remote;
+  std::map<class_name, usual> kinds;
+  usual all;
+
+  template <class Visit>
+  void each(Visit&& visit) const {
+    for (const auto& s : local) visit(s);
+    for (const auto& s : remote) visit(s);
+  }
+
+  auto size() const -> std::size_t { return local.size() + remote.size(); }
+
+  auto aside_count() const -> std::size_t {
+    auto count = std::size_t{0};
+    each([&](const observed_ptr& s) { count += s->aside ? 1 : 0; });
+    return count;
+  }
+};
+
+struct running {
+  service_state* service = nullptr;
+  observed_ptr target;
+  usual* kind = nullptr;
+  time_point started;
+  double rate = 0;
+  bool probe = false;
+};
+
+auto contains(std::span<const node_id> excluded, const node_id& id) -> bool {
+  return std::find(excluded.begin(), excluded.end(), id) != excluded.end();
+}
+
+/// Two random candidates, the one with the lower load wins.
+auto better_of_two(const std::vector<observed*>& candidates,
+                   random_source& random) -> observed* {
+  if (candidates.empty()) return nullptr;
+  const auto first = random.index(candidates.size());
+  if (candidates.size() == 1) return candidates[first];
+  auto second = random.index(candidates.size() - 1);
+  if (second >= first) ++second;
+  auto* a = candidates[first];
+  auto* b = candidates[second];
+  return a->load() <= b->load() ? a : b;
+}
+
+template <class Accept>
+void collect(const std::vector<observed_ptr>& from,
+             std::span<const node_id> excluded, std::vector<observed*>& out,
+             Accept&& accept) {
+  for (const auto& s : from) {
+    if (s->draining || contains(excluded, s->info.id)) continue;
+    if (accept(*s)) out.push_back(s.get());
+  }
+}
+
+}  // namespace
+
+struct balancer::state {
+  balancer_settings settings;
+  std::map<service_name, service_state> services;
+  std::unordered_map<attempt_ticket, running> attempts;
+  attempt_ticket next = 1;
+  std::vector<observed*> candidates;
+
+  auto round_trip(const observed& s) const -> double {
+    return s.info.domain == settings.domain ? 0.0
+                                            : settings.remote_round_trip.ms;
+  }
+
+  void judge(service_state& service, observed& s, time_point now);
+  auto due_probe(const service_state& service,
+                 std::span<const node_id> excluded, time_point now)
+      -> observed*;
+  auto pick(const service_state& service, std::span<const node_id> excluded,
+            time_point now, random_source& random) -> observed*;
+  auto remove(attempt_ticket ticket, time_point now) -> running;
+  void end_probe(running& r, attempt_end end, double relative, time_point now);
+  auto keep(const service_state& old, const std::vector<server>& chosen)
+      -> std::vector<observed_ptr>;
+};
+
+balancer::balancer(balancer_settings settings)
+    : state_{std::make_unique<state>()} {
+  state_->settings = std::move(settings);
+}
+
+balancer::balancer(balancer&&) noexcept = default;
+auto balancer::operator=(balancer&&) noexcept -> balancer& = default;
+balancer::~balancer() = default;
+
+auto rendezvous_subset(const vm_address& self,
+                       const std::vector<server>& servers, std::size_t count)
+    -> std::vector<server> {
+  if (servers.size() <= count) return servers;
+  const auto seed = XXH3_64bits(self.value.data(), self.value.size());
+  auto weighted = std::vector<std::pair<std::uint64_t, std::size_t>>{};
+  weighted.reserve(servers.size());
+  for (auto i = std::size_t{0}; i < servers.size(); ++i) {
+    // A restarted server keeps its place, so the incarnation does not count.
+    const auto& address = servers[i].id.address.value;
+    weighted.emplace_back(
+        XXH3_64bits_withSeed(address.data(), address.size(), seed), i);
+  }
+  const auto end = weighted.begin() + static_cast<std::ptrdiff_t>(count);
+  std::nth_element(weighted.begin(), end, weighted.end(), std::greater<>{});
+  auto out = std::vector<server>{};
+  for (auto i = weighted.begin(); i != end; ++i) {
+    out.push_back(servers[i->second]);
+  }
+  return out;
+}
+
+auto balancer::state::keep(const service_state& old,
+                           const std::vector<server>& chosen)
+    -> std::vector<observed_ptr> {
+  auto out = std::vector<observed_ptr>{};
+  for (const auto& info : chosen) {
+    auto kept = observed_ptr{};
+    old.each([&](const observed_ptr& s) {
+      if (s->info.id == info.id) kept = s;
+    });
+    if (!kept) kept = std::make_shared<observed>();
+    kept->info = info;
+    // A list that is older than the server's own word does not undo it.
+    kept->draining = kept->draining || info.draining;
+    out.push_back(std::move(kept));
+  }
+  return out;
+}
+
+void balancer::set_servers(const service_name& service,
+                           const std::vector<server>& servers) {
+  auto local = std::vector<server>{};
+  auto remote = std::vector<server>{};
+  for (const auto& s : servers) {
+    (s.domain == state_->settings.domain ? local : remote).push_back(s);
+  }
+  const auto& settings = state_->settings;
+  local = rendezvous_subset(settings.self, local, settings.local_subset);
+  remote = rendezvous_subset(settings.self, remote, settings.remote_subset);
+  auto& known = state_->services[service];
+  auto new_local = state_->keep(known, local);
+  known.remote = state_->keep(known, remote);
+  known.local = std::move(new_local);
+}
+
+void balancer::state::judge(service_state& service, observed& s,
+                            time_point now) {
+  s.advance(now);
+  if (s.aside || s.slowness() < slow_from) return;
+  const auto share =
+      settings.set_aside_limit.value * static_cast<double>(service.size());
+  const auto limit = service.size() < 2 ? 0.0 : std::max(share, 1.0);
+  if (static_cast<double>(service.aside_count() + 1) > limit) return;
+  s.aside = true;
+  s.good_probes = 0;
+  s.probe_gap = first_probe_gap;
+  s.next_probe = now + s.probe_gap;
+}
+
+auto balancer::state::due_probe(const service_state& service,
+                                std::span<const node_id> excluded,
+                                time_point now) -> observed* {
+  observed* due = nullptr;
+  service.each([&](const observed_ptr& s) {
+    if (!s->aside || s->probe_out || s->draining) return;
+    if (now < s->next_probe || contains(excluded, s->info.id)) return;
+    due = s.get();
+  });
+  return due;
+}
+
+auto balancer::state::pick(const service_state& service,
+                           std::span<const node_id> excluded, time_point now,
+                           random_source& random) -> observed* {
+  const auto free = [now](const observed& s) {
+    return !s.aside && !s.full(now);
+  };
+  const auto unrefused = [now](const observed& s) {
+    return now >= s.backoff_until;
+  };
+  const auto any = [](const observed&) { return true; };
+  const auto attempt = [&](bool local, bool remote, auto accept) {
+    candidates.clear();
+    if (local) collect(service.local, excluded, candidates, accept);
+    if (remote) collect(service.remote, excluded, candidates, accept);
+    return better_of_two(candidates, random);
+  };
+  if (auto* s = attempt(true, false, free)) return s;
+  if (auto* s = attempt(false, true, free)) return s;
+  if (auto* s = attempt(true, true, unrefused)) return s;
+  // The server node knows its slots and the importance of what waits, so it
+  // and not this guess refuses the call.
+  return attempt(true, true, any);
+}
+
+auto balancer::choose(const service_name& service,
+                      std::span<const node_id> excluded, time_point now,
+                      random_source& random, bool may_probe) -> choice {
+  const auto found = state_->services.find(service);
+  if (found == state_->services.end()) return {.reason = refusal::no_server};
+  auto& known = found->second;
+  known.each([&](const observed_ptr& s) { state_->judge(known, *s, now); });
+  if (may_probe) {
+    if (auto* s = state_->due_probe(known, excluded, now)) {
+      return {&s->info, true, state_->round_trip(*s) > 0};
+    }
+  }
+  if (auto* s = state_->pick(known, excluded, now, random)) {
+    return {&s->info, false, state_->round_trip(*s) > 0};
+  }
+  auto serving = false;
+  known.each([&](const observed_ptr& s) { serving |= !s->draining; });
+  return {.reason = serving ? refusal::overload : refusal::no_server};
+}
+
+auto balancer::started(const service_name& service, const choice& chosen,
+                       const class_name& kind, time_point now)
+    -> attempt_ticket {
+  const auto found = state_->services.find(service);
+  if (found == state_->services.end()) return 0;
+  auto& known = found->second;
+  auto target = observed_ptr{};
+  known.each([&](const observed_ptr& s) {
+    if (&s->info == chosen.target) target = s;
+  });
+  if (!target) return 0;
+  auto& mean = known.kinds[kind];
+  target->advance(now);
+  ++target->in_flight;
+  // The way to another failure domain is usual, too.
+  const auto expected = mean.mean_ms + state_->round_trip(*target);
+  const auto rate = mean.mean_ms > 0 ? 1 / expected : 0.0;
+  target->rate += rate;
+  target->probe_out |= chosen.probe;
+  const auto ticket = state_->next++;
+  state_->attempts[ticket] = {&known, target, &mean, now, rate, chosen.probe};
+  return ticket;
+}
+
+auto balancer::state::remove(attempt_ticket ticket, time_point now) -> running {
+  const auto found = attempts.find(ticket);
+  if (found == attempts.end()) return {};
+  auto r = std::move(found->second);
+  attempts.erase(found);
+  auto& s = *r.target;
+  s.advance(now);
+  --s.in_flight;
+  s.rate = s.in_flight == 0 ? 0.0 : std::max(s.rate - r.rate, 0.0);
+  if (r.probe) s.probe_out = false;
+  return r;
+}
+
+void balancer::state::end_probe(running& r, attempt_end end, double relative,
+                                time_point now) {
+  auto& s = *r.target;
+  if (!s.aside) return;
+  if (end == attempt_end::cancelled && relative <= good_probe) return;
+  if (end == attempt_end::answered && relative <= good_probe) {
+    s.next_probe = now;
+    if (++s.good_probes < good_probes_needed) return;
+    s.aside = false;
+    s.exposure = window;
+    s.completions = window;
+    return;
+  }
+  s.good_probes = 0;
+  s.probe_gap = std::min(s.probe_gap * 2, last_probe_gap);
+  s.next_probe = now + s.probe_gap;
+}
+
+void balancer::finished(attempt_ticket ticket, attempt_end end,
+                        time_point now) {
+  auto r = state_->remove(ticket, now);
+  if (r.target == nullptr) return;
+  auto& s = *r.target;
+  const auto taken = (now - r.started).ms - state_->round_trip(s);
+  const auto latency = std::max(taken, 0.01);
+  const auto relative = r.kind->mean_ms > 0 ? latency / r.kind->mean_ms : 1;
+  if (r.probe) state_->end_probe(r, end, relative, now);
+  if (end == attempt_end::answered) {
+    s.completions += r.rate > 0 ? 1 : 0;
+    s.backoff = shortest_backoff;
+    r.kind->add(latency);
+    r.service->all.add(latency);
+  }
+  // A quick error must not make a server look fast.
+  if (end == attempt_end::failed && r.rate > 0) {
+    s.completions += 1;
+    s.exposure += std::max(1 - (now - r.started).ms * r.rate, 0.0);
+  }
+  constexpr auto lost_weight = 4.0;
+  if (end == attempt_end::lost) s.exposure += lost_weight;
+  state_->judge(*r.service, s, now);
+}
+
+void balancer::refused(attempt_ticket ticket, refusal reason, time_point now) {
+  auto r = state_->remove(ticket, now);
+  if (r.target == nullptr) return;
+  auto& s = *r.target;
+  if (reason == refusal::draining) s.draining = true;
+  if (reason != refusal::overload) return;
+  s.backoff_until = now + s.backoff;
+  s.backoff = std::min(s.backoff * 2, longest_backoff);
+}
+
+void balancer::mark_draining(const service_name& service, const node_id& id) {
+  state_->services[service].each([&](const observed_ptr& s) {
+    if (s->info.id == id) s->draining = true;
+  });
+}
+
+auto balancer::subset(const service_name& service) const
+    -> std::vector<server> {
+  auto out = std::vector<server>{};
+  const auto found = state_->services.find(service);
+  if (found == state_->services.end()) return out;
+  found->second.each([&](const observed_ptr& s) { out.push_back(s->info); });
+  return out;
+}
+
+auto balancer::set_aside(const service_name& service) const
+    -> std::vector<node_id> {
+  auto out = std::vector<node_id>{};
+  const auto found = state_->services.find(service);
+  if (found == state_->services.end()) return out;
+  found->second.each([&](const observed_ptr& s) {
+    if (s->aside) out.push_back(s->info.id);
+  });
+  return out;
+}
+
+auto balancer::usual_latency(const service_name& service,
+                             const class_name& kind) const -> duration {
+  const auto found = state_->services.find(service);
+  if (found == state_->services.end()) return {};
+  const auto mean = found->second.kinds.find(kind);
+  return {mean == found->second.kinds.end() ? 0.0 : mean->second.mean_ms};
+}
+
+}  // namespace figwind
