--- a/include/figwind/burn.h
+++ b/include/figwind/burn.h
@@ -13,6 +13,7 @@
 #include <limits>
 #include <map>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "figwind/call.h"
@@ -41,7 +42,12 @@
   refusal reason = refusal::none;
   service_name service;
 
-  friend auto operator<=>(const refusal_cause&, const refusal_cause&) = default;
+  friend auto operator==(const refusal_cause&, const refusal_cause&)
+      -> bool = default;
+  friend auto operator<(const refusal_cause& a, const refusal_cause& b)
+      -> bool {
+    return std::tie(a.reason, a.service) < std::tie(b.reason, b.service);
+  }
 };
 
 /// Counts of one class in one time slot of one node. Each count only grows.
--- a/src/adapters/burn_json.cc
+++ b/src/adapters/burn_json.cc
@@ -1,12 +1,16 @@
 #include "adapters/burn_json.h"
 
+#include <algorithm>
 #include <cmath>
+#include <stdexcept>
 #include <utility>
 
 namespace figwind {
 namespace {
 
 using json = nlohmann::ordered_json;
+/// Read without keeping the order of keys, which makes look-ups linear.
+using parsed_json = nlohmann::json;
 
 /// Every counter of `burn_counts` with its name; zeros are left out of the
 /// text, which makes up most of a report.
@@ -54,23 +58,36 @@
   return refusal::none;
 }
 
-auto parse_counts(const json& from) -> burn_counts {
+auto count_of(const parsed_json& x) -> std::uint64_t {
+  // The library would wrap a negative number without an error.
+  if (!x.is_number_unsigned()) throw std::invalid_argument{"not a count"};
+  return x.get<std::uint64_t>();
+}
+
+auto parse_counts(const parsed_json& from) -> burn_counts {
   auto x = burn_counts{};
   each_counter(x, [&](const char* name, std::uint64_t& count) {
-    count = from.value(name, std::uint64_t{0});
+    auto found = from.find(name);
+    if (found != from.end()) count = count_of(*found);
   });
-  for (const auto& pair : from.value("latency", json::array())) {
-    x.latency[pair.at(0).get<std::uint8_t>()] = pair.at(1).get<std::uint64_t>();
+  if (auto found = from.find("latency"); found != from.end()) {
+    for (const auto& pair : *found) {
+      auto bucket =
+          std::min<std::uint64_t>(count_of(pair.at(0)), latency_bounds.size());
+      x.latency[static_cast<std::uint8_t>(bucket)] += count_of(pair.at(1));
+    }
   }
-  for (const auto& row : from.value("refusals", json::array())) {
-    auto cause = refusal_cause{parse_refusal(row.at(0).get<std::string>()),
-                               {row.at(1).get<std::string>()}};
-    x.refusals[cause] += row.at(2).get<std::uint64_t>();
+  if (auto found = from.find("refusals"); found != from.end()) {
+    for (const auto& row : *found) {
+      auto reason = parse_refusal(row.at(0).get<std::string>());
+      auto service = service_name{row.at(1).get<std::string>()};
+      x.refusals[{reason, service}] += count_of(row.at(2));
+    }
   }
   return x;
 }
 
-auto parse_slots(const json& from) -> burn_slots {
+auto parse_slots(const parsed_json& from) -> burn_slots {
   auto slots = burn_slots{};
   for (const auto& [number, counts] : from.items()) {
     slots[std::stoull(number)] = parse_counts(counts);
@@ -78,7 +95,7 @@
   return slots;
 }
 
-auto parse_node(const json& from) -> node_burn {
+auto parse_node(const parsed_json& from) -> node_burn {
   auto node = node_burn{};
   for (const auto& [name, x] : from.at("classes").items()) {
     node.classes[{name}] = {parse_slots(x.at("minutes")),
@@ -150,7 +167,7 @@
     return findings{{{}, "the burn report is damaged: " + reason}};
   };
   try {
-    auto from = json::parse(text);
+    auto from = parsed_json::parse(text);
     auto x = burn_body{};
     for (const auto& node : from.at("nodes")) {
       auto id = node_id{{node.at("address").get<std::string>()},
@@ -159,7 +176,7 @@
     }
     x.missing = from.value("missing", std::vector<std::string>{});
     return x;
-  } catch (const json::exception& error) {
+  } catch (const parsed_json::exception& error) {
     return refuse(error.what());
   } catch (const std::logic_error& error) {
     return refuse(error.what());
--- a/src/adapters/cli_change.cc
+++ b/src/adapters/cli_change.cc
@@ -4,6 +4,7 @@
 #include <deque>
 #include <set>
 
+#include "adapters/call_headers.h"
 #include "adapters/cli_commands.h"
 #include "adapters/load.h"
 #include "figwind/parse.h"
@@ -174,15 +175,22 @@
          cx.given.node.value + " (with the same --body)";
 }
 
+/// True when the body has the length and checksum that the node states.
+auto is_whole(const http_answer& answer) -> bool {
+  auto length = header_at(answer, "figwind-length");
+  auto sum = header_at(answer, "figwind-checksum");
+  return (length.empty() || length == std::to_string(answer.body.size())) &&
+         (sum.empty() || sum == to_hex(checksum(answer.body)));
+}
+
 auto print_call(const context& cx, const http_answer& answer) -> outcome {
   auto how = header_at(answer, "figwind-outcome");
   auto reason = header_at(answer, "figwind-reason");
   auto id = header_at(answer, "figwind-request-id");
   auto is_known = how == "complete" || how == "not-run" || how == "failed" ||
                   how == "unknown";
-  if (!is_known) {
-    return fail(cx, outcome::unknown,
-                "the answer is damaged, it has no outcome" + call_hint(cx));
+  if (!is_known || !is_whole(answer)) {
+    return fail(cx, outcome::unknown, "the answer is damaged" + call_hint(cx));
   }
   if (cx.given.json) {
     auto line = json{{"outcome", how},
--- a/src/adapters/cli_commands.cc
+++ b/src/adapters/cli_commands.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <utility>
 
+#include "adapters/findings_json.h"
 #include "adapters/token.h"
 
 namespace figwind::cli {
@@ -16,7 +17,7 @@
         std::array{"done", "refused", "usage", "unknown"};
     auto line = json{{"outcome", names.at(static_cast<std::size_t>(code))},
                      {"message", message}};
-    cx.out << line.dump() << "\n";
+    cx.out << line.dump(-1, ' ', false, json::error_handler_t::replace) << "\n";
   }
   return code;
 }
@@ -24,15 +25,9 @@
 auto fail(const context& cx, const findings& all) -> outcome {
   cx.err << to_string(all);
   if (cx.given.json) {
-    auto list = json::array();
-    for (const auto& x : all) {
-      list.push_back({{"file", x.where.file},
-                      {"line", x.where.line},
-                      {"section", x.where.section},
-                      {"key", x.where.key},
-                      {"message", x.message}});
-    }
-    cx.out << json{{"outcome", "refused"}, {"findings", list}}.dump() << "\n";
+    cx.out << json{{"outcome", "refused"}, {"findings", to_json(all)}}.dump(
+                  -1, ' ', false, json::error_handler_t::replace)
+           << "\n";
   }
   return outcome::refused;
 }
@@ -70,16 +65,6 @@
   return list;
 }
 
-auto findings_at(const json& x) -> findings {
-  auto all = findings{};
-  for (const auto& item : list_at(x, "findings")) {
-    all.push_back({{text_at(item, "file"), number_at(item, "line"),
-                    text_at(item, "section"), text_at(item, "key")},
-                   text_at(item, "message", "refused")});
-  }
-  return all;
-}
-
 auto read_any(const context& cx, const std::string& path, std::string& reasons)
     -> std::optional<read_answer> {
   auto isolated = std::optional<read_answer>{};
--- a/src/adapters/cli_commands.h
+++ b/src/adapters/cli_commands.h
@@ -51,9 +51,6 @@
 /// The list at `key`, or an empty one.
 auto list_at(const json& x, const std::string& key) -> json;
 
-/// Findings of an answer 400.
-auto findings_at(const json& x) -> findings;
-
 /// The first usable answer to GET `path` with the address that gave it.
 /// Isolated members are asked last because what they know may be old.
 struct read_answer {
--- a/src/adapters/cli_config.cc
+++ b/src/adapters/cli_config.cc
@@ -8,6 +8,7 @@
 #include <map>
 
 #include "adapters/cli_commands.h"
+#include "adapters/findings_json.h"
 #include "adapters/load.h"
 #include "figwind/ini.h"
 #include "figwind/workload.h"
@@ -150,7 +151,7 @@
   }
 
   auto end_findings(const json& body) -> outcome {
-    auto all = findings_at(body);
+    auto all = parse_findings(body.value("findings", json::array()));
     if (all.empty()) all.push_back({{}, "the change was refused as damaged"});
     return fail(cx_, all);
   }
@@ -175,14 +176,18 @@
   }
 
   auto end_unknown() -> outcome {
+    auto command = "figwind config apply " + cx_.given.words[2];
+    command += " --request " + request_;
+    command += " --base " + std::to_string(base_);
+    command += " --author '" + cx_.given.author + "'";
+    command += " --token_file " + cx_.given.token_file;
+    command += " " + servers_flag(cx_);
     return fail(
         cx_, outcome::unknown,
         "outcome unknown, the change may have been accepted:" + all_notes() +
             "\nthis sends the same change again and gets its first "
-            "answer:\n  figwind config apply " +
-            cx_.given.words[2] + " --request " + request_ + " --base " +
-            std::to_string(base_) + " --token_file " + cx_.given.token_file +
-            " " + servers_flag(cx_));
+            "answer:\n  " +
+            command);
   }
 
   void note(const vm_address& address, const std::string& reason) {
--- a/test/adapter-burn-json-test.cc
+++ b/test/adapter-burn-json-test.cc
@@ -43,6 +43,9 @@
         std::string{
             R"({"nodes":[{"address":"a","incarnation":1,"classes":)"
             R"({"c":{"minutes":{"x":{}},"fives":{},"quarters":{}}}}]})"},
+        std::string{
+            R"({"nodes":[{"address":"a","incarnation":1,"classes":{"c":)"
+            R"({"minutes":{"1":{"met":-1}},"fives":{},"quarters":{}}}}]})"},
         std::string{R"({"nodes":[{"address":"a","incarnation":-1,)"
                     R"("classes":7}]})"}}) {
     section(damaged, [&] { EXPECT_FALSE(ok(parse_burn_body(damaged))); });
--- a/test/adapter-cli-test.cc
+++ b/test/adapter-cli-test.cc
@@ -352,7 +352,7 @@
            {fault::none, "failed", outcome::refused, "failed"},
            {fault::none, "unknown", outcome::unknown, "--key pl-a.1.x"},
            {fault::none, "nonsense", outcome::unknown, "--key pl-a.1.x"},
-           {fault::damage, "complete", outcome::unknown, "has no outcome"},
+           {fault::damage, "complete", outcome::unknown, "damaged"},
            {fault::lose_answer, "complete", outcome::unknown, "--key pl-a.1.x"},
        }) {
     section(x.given, [&] {
--- a/test/operator-stand-in.h
+++ b/test/operator-stand-in.h
@@ -15,6 +15,8 @@
 #include <utility>
 #include <vector>
 
+#include "adapters/call_headers.h"
+
 namespace figwind::test {
 
 /// How a stand-in treats a request to change something.
@@ -140,7 +142,6 @@
         return cut(out);
       case fault::damage:
         act();
-        out.headers.erase("Figwind-Outcome");
         return out.set_content(out.body.substr(0, out.body.size() / 2), "json");
       case fault::silence:
         return wait();
@@ -186,7 +187,9 @@
     out.set_header("Figwind-Outcome", outcome_);
     if (!reason_.empty()) out.set_header("Figwind-Reason", reason_);
     out.set_header("Figwind-Request-Id", "7");
-    out.set_content(in.get_header_value("Figwind-Key") + ":" + in.body, "text");
+    auto body = in.get_header_value("Figwind-Key") + ":" + in.body;
+    out.set_header("Figwind-Checksum", to_hex(checksum(body)));
+    out.set_content(body, "text");
   }
 
   static void answer(httplib::Response& out, int status,
