Report no exhaustion that lies beyond the period

Cause: a class that burned at 0.4 of the allowed rate was reported to run out in 70 days, which cannot happen because failures older than 30 days no longer count. Change: a time beyond the period is reported as never, and allowed failures that have run out as spent.

--- a/include/figwind/burn.h
+++ b/include/figwind/burn.h
@@ -185,8 +185,9 @@
   window_report in_period;
   /// Share of the period's allowed failures that is left, from 0 to 1.
   double budget_left = 1;
-  /// Until the allowed failures run out at the rate of the long window;
-  /// infinite when nothing fails, 0 when they have run out.
+  /// Until the allowed failures run out at the rate of the long window; 0 when
+  /// they have run out. Infinite when that takes longer than the period,
+  /// because today's failures no longer count by then.
   duration exhausted_in{std::numeric_limits<double>::infinity()};
   burn_alarm alarm = burn_alarm::none;
   /// The last hour, oldest first.
--- a/src/adapters/cli_html.cc
+++ b/src/adapters/cli_html.cc
@@ -183,6 +183,7 @@
 
 auto to_span_text(duration span) -> std::string {
   if (!std::isfinite(span.ms)) return "never";
+  if (span.ms <= 0) return "spent";
   auto hours = span / minutes(60);
   if (hours >= 48) return number(hours / 24) + " days";
   if (hours >= 2) return number(hours) + " h";
--- a/src/adapters/cli_html.h
+++ b/src/adapters/cli_html.h
@@ -24,7 +24,7 @@
 /// A time on the Unix clock as in 2026-12-04 05:10 UTC.
 auto to_utc_text(time_point at) -> std::string;
 
-/// A span as in 3.5 days, or "never" when infinite.
+/// A span as in 3.5 days, "never" when infinite and "spent" when 0.
 auto to_span_text(duration span) -> std::string;
 
 /// A share as a percentage as in 99.95%.
--- a/src/adapters/cli_report.cc
+++ b/src/adapters/cli_report.cc
@@ -57,7 +57,8 @@
 void print_burn(const context& cx, const report_page& page) {
   auto rows = std::vector<std::vector<std::string>>{
       {"CLASS", "TARGET", "MET 1H", "MET 30D", "BURN 5MIN", "BURN 1H",
-       "BURN 30D", "LEFT", "RUNS OUT IN", "RETRIES 1H", "MOST", "ALARM"}};
+       "BURN 30D", "LEFT", "RUNS OUT IN", "RETRIES 1H", "MAX RETRIES",
+       "ALARM"}};
   for (const auto& x : page.classes) {
     const auto& hour = x.in_long.counts;
     rows.push_back(
--- a/src/decisions/burn.cc
+++ b/src/decisions/burn.cc
@@ -227,7 +227,7 @@
   x.budget_left = std::clamp(1 - spent, 0.0, 1.0);
   if (x.budget_left == 0) {
     x.exhausted_in = {};
-  } else if (x.in_long.burn_rate > 0) {
+  } else if (x.in_long.burn_rate > x.budget_left) {
     x.exhausted_in = burn_period * (x.budget_left / x.in_long.burn_rate);
   }
   x.alarm = alarm_of(x, total, now);
--- a/test/burn-test.cc
+++ b/test/burn-test.cc
@@ -113,6 +113,17 @@
     EXPECT_NEAR(x.budget_left, 1.0 / 3, 0.02);
     EXPECT_NEAR(x.exhausted_in.ms / minutes(24 * 60).ms, 5, 0.3);
   });
+  section("given a third of the allowed rate all the time", [] {
+    auto node = node_burn{};
+    for (auto slot = 119; slot >= 0; --slot) {
+      auto at = noon - burn_quarter_slot * slot;
+      repeat(node, 3000, complete(5), at);
+      record(node, refund, {call_status::failed}, at);
+    }
+    auto x = evaluate_one(node, noon);
+    EXPECT_NEAR(x.budget_left, 2.0 / 3, 0.02);
+    EXPECT_TRUE(std::isinf(x.exhausted_in.ms));
+  });
   section("given no failure", [] {
     auto node = node_burn{};
     repeat(node, 10, complete(5), noon);
