--- a/src/adapters/cli_config.cc
+++ b/src/adapters/cli_config.cc
@@ -197,7 +197,7 @@
   auto all_notes() const -> std::string {
     auto text = std::string{};
     for (const auto& [address, reason] : notes_) {
-      text += "\n  " + address + ": " + reason;
+      text.append("\n  ").append(address).append(": ").append(reason);
     }
     return text;
   }
