Ignore broken pipes in the operator's program

Cause: the HTTP library sends without MSG_NOSIGNAL, so a member that closes the connection while a change is sent would end the program by a signal instead of exit code 3. Change: SIGPIPE is ignored.

--- a/src/programs/figwind.cc
+++ b/src/programs/figwind.cc
@@ -2,6 +2,7 @@
 
 #include <gflags/gflags.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 #include <sstream>
@@ -91,6 +92,9 @@
 }  // namespace
 
 auto main(int argc, char** argv) -> int {
+  // A member that closes the connection early must not end the program: the
+  // HTTP library sends without MSG_NOSIGNAL.
+  std::signal(SIGPIPE, SIG_IGN);
   google::gflags_exitfunc = [](int) { std::exit(2); };
   constexpr auto remove_flags = true;
   gflags::ParseCommandLineNonHelpFlags(&argc, &argv, remove_flags);
