Let internal calls use slots that callers leave free

Cause: keyed calls of other services counted as demand of callers, and internal calls were held to a fixed share, so 5 to 8 of 20 slots of the deepest service idled beside a queue. Change: only calls at depth 0 count as demand of callers, and internal calls may borrow all but the headroom.

--- a/include/figwind/slot_split.h
+++ b/include/figwind/slot_split.h
@@ -57,7 +57,7 @@
   [[nodiscard]] auto kind_of(const call_context& call) const -> work_kind;
 
   /// Counts an admitted arrival; demand is arrivals times time in the slot.
-  void count_arrival(work_kind kind, time_point now);
+  void count_arrival(const call_context& call, work_kind kind, time_point now);
 
   /// Takes the time for which a finished call held its slot.
   void observe(const class_name& name, work_kind kind, duration held,
@@ -68,7 +68,7 @@
                                const kind_counts& running,
                                const kind_counts& waiting) const -> bool;
 
-  /// Slots that `kind` may hold of `limit`.
+  /// Slots of `limit` that `kind` may always hold.
   [[nodiscard]] auto share(work_kind kind, int limit) const -> int;
 
   /// Mean time in the slot of the kind; 0 before the first completion.
@@ -88,6 +88,7 @@
 
   void classify();
   void update(time_point now);
+  [[nodiscard]] auto may_borrow(work_kind kind, int free) const -> bool;
   [[nodiscard]] auto demand(work_kind kind) const -> double;
   [[nodiscard]] auto guaranteed(int limit) const -> int;
 
--- a/src/decisions/run_queue.cc
+++ b/src/decisions/run_queue.cc
@@ -51,7 +51,7 @@
   threshold_.count_arrival(level_of(call), milliseconds(x.held_ms));
   const auto reason = refusal_of(call, x, now);
   if (reason != refusal::none) return {arrival_verdict::refused, reason, {}};
-  split_.count_arrival(x.kind, now);
+  split_.count_arrival(call, x.kind, now);
   const auto ticket = ++last_ticket_;
   by_request_.emplace(call.id, ticket);
   auto& stored = calls_.emplace(ticket, std::move(x)).first->second;
--- a/src/decisions/slot_split.cc
+++ b/src/decisions/slot_split.cc
@@ -39,8 +39,12 @@
   return work_kind::caller_facing;
 }
 
-void slot_split::count_arrival(work_kind kind, time_point now) {
-  demand_[index(kind)].arrivals += 1;
+void slot_split::count_arrival(const call_context& call, work_kind kind,
+                               time_point now) {
+  // Slots are kept for callers at this server only; keyed calls of other
+  // services take their turn by importance.
+  const auto deep = call.depth > 0 && kind == work_kind::caller_facing;
+  demand_[index(deep ? work_kind::internal : kind)].arrivals += 1;
   if (now - updated_ >= demand_period) update(now);
 }
 
@@ -96,9 +100,7 @@
 auto slot_split::share(work_kind kind, int limit) const -> int {
   const auto callers = demand(work_kind::caller_facing);
   auto kept = 0.0;
-  if (kind == work_kind::internal) {
-    kept = callers + options_.internal_headroom * std::sqrt(callers);
-  }
+  if (kind == work_kind::internal) kept = callers;
   if (kind == work_kind::long_running) {
     const auto short_work = callers + demand(work_kind::internal);
     // One slot stays free even without short demand: the first short call
@@ -110,12 +112,21 @@
   return std::clamp(left, std::min(guaranteed(limit), limit), limit);
 }
 
+auto slot_split::may_borrow(work_kind kind, int free) const -> bool {
+  // Internal calls give a slot back soon, so they may use what callers leave
+  // free, less the headroom; long work may not.
+  if (kind != work_kind::internal) return false;
+  const auto callers = demand(work_kind::caller_facing);
+  return free > std::ceil(options_.internal_headroom * std::sqrt(callers));
+}
+
 auto slot_split::may_start(work_kind kind, int limit,
                            const kind_counts& running,
                            const kind_counts& waiting) const -> bool {
   auto free = limit - sum(running);
   if (free <= 0) return false;
-  if (running[index(kind)] >= share(kind, limit)) return false;
+  const auto entitled = running[index(kind)] < share(kind, limit);
+  if (!entitled && !may_borrow(kind, free)) return false;
   for (const auto other : {work_kind::internal, work_kind::long_running}) {
     if (other == kind || waiting[index(other)] == 0) continue;
     const auto owed = guaranteed(limit) - running[index(other)];
