Evict less important queued work before refusing more important work

Cause: calls queued before the threshold fell ran from a reserved slot while more important arrivals were refused. Change: a falling threshold and a full queue evict less important queued calls of every kind first; while nothing was observed no class counts as long.

--- a/include/figwind/admission.h
+++ b/include/figwind/admission.h
@@ -37,6 +37,9 @@
 auto level_at_depth(const call_context& call, fraction margin)
     -> admission_level;
 
+/// The highest level of the same importance rank as `level`.
+auto last_of_rank(admission_level level) -> admission_level;
+
 /// Threshold of one service, sent back on an answer.
 struct threshold_report {
   service_name service;
--- a/include/figwind/run_queue.h
+++ b/include/figwind/run_queue.h
@@ -177,7 +177,7 @@
   entries calls_;
   std::unordered_multimap<request_id, std::uint64_t> by_request_;
   std::array<std::set<order_key>, work_kinds> waiting_;
-  level_index short_by_level_;
+  level_index by_level_;
   time_index by_latest_start_;
   // Slot time that waiting short and long calls need, by importance.
   std::map<int, double> short_ms_;
--- a/include/figwind/slot_split.h
+++ b/include/figwind/slot_split.h
@@ -52,8 +52,8 @@
  public:
   explicit slot_split(const split_options& options, time_point now = {});
 
-  /// Kind of a call. A class without observed service time counts as long
-  /// until its first completion.
+  /// Kind of a call. Beside observed classes, one without observed service
+  /// time counts as long until its first completion.
   [[nodiscard]] auto kind_of(const call_context& call) const -> work_kind;
 
   /// Counts an admitted arrival; demand is arrivals times time in the slot.
--- a/src/decisions/admission.cc
+++ b/src/decisions/admission.cc
@@ -57,6 +57,10 @@
   return {level - std::min(offset, less)};
 }
 
+auto last_of_rank(admission_level level) -> admission_level {
+  return {level.value | (rank_size - 1)};
+}
+
 threshold_control::threshold_control(const threshold_options& options,
                                      time_point now)
     : options_{options}, updated_{now} {}
--- a/src/decisions/run_queue.cc
+++ b/src/decisions/run_queue.cc
@@ -89,11 +89,12 @@
   if (!threshold_.admits(call)) return refusal::overload;
   const auto soonest = now + wait_of(x, now);
   if (soonest.ms > x.latest_start_ms) return refusal::deadline;
-  if (x.kind == work_kind::long_running) return refusal::none;
-  if (!is_full(x.held_ms, now) || short_by_level_.empty()) {
-    return refusal::none;
-  }
-  const auto worst = short_by_level_.rbegin()->first;
+  // Only short work fills the queue, but while it is full nothing less
+  // important than what is about to be evicted may enter.
+  const auto is_long = x.kind == work_kind::long_running;
+  const auto full = is_full(is_long ? 0 : x.held_ms, now);
+  if (!full || by_level_.empty()) return refusal::none;
+  const auto worst = by_level_.rbegin()->first;
   return x.level >= worst ? refusal::overload : refusal::none;
 }
 
@@ -133,11 +134,11 @@
   waiting_[index(x.kind)].insert(key_of(ticket, x));
   queued_[index(x.kind)] += 1;
   by_latest_start_.emplace(x.latest_start_ms, ticket);
+  by_level_.emplace(x.level, ticket);
   if (x.kind == work_kind::long_running) {
     long_ms_[x.call.importance] += x.held_ms;
     return;
   }
-  short_by_level_.emplace(x.level, ticket);
   short_ms_[x.call.importance] += x.held_ms;
   total_short_ms_ += x.held_ms;
 }
@@ -146,15 +147,15 @@
   waiting_[index(x.kind)].erase(key_of(ticket, x));
   queued_[index(x.kind)] -= 1;
   by_latest_start_.erase({x.latest_start_ms, ticket});
+  by_level_.erase({x.level, ticket});
   if (x.kind == work_kind::long_running) {
     subtract(long_ms_, x.call.importance, x.held_ms);
     return;
   }
-  short_by_level_.erase({x.level, ticket});
   subtract(short_ms_, x.call.importance, x.held_ms);
   total_short_ms_ -= x.held_ms;
   // An empty queue takes away what rounding has left.
-  if (short_by_level_.empty()) total_short_ms_ = 0;
+  if (short_ms_.empty()) total_short_ms_ = 0;
 }
 
 void run_queue::forget(std::uint64_t ticket) {
@@ -240,8 +241,8 @@
 }
 
 void run_queue::evict_excess(time_point now) {
-  while (short_by_level_.size() > 1 && is_full(0, now)) {
-    refuse_queued(short_by_level_.rbegin()->second, refusal::overload);
+  while (by_level_.size() > 1 && is_full(0, now)) {
+    refuse_queued(by_level_.rbegin()->second, refusal::overload);
   }
 }
 
@@ -249,6 +250,11 @@
   if (!threshold_.due(now)) return;
   threshold_.update(
       {static_cast<double>(limit(now)), milliseconds(total_short_ms_)}, now);
+  // What waits from before must not run while more important work is refused.
+  const auto lowest = last_of_rank(threshold_.threshold());
+  while (!by_level_.empty() && by_level_.rbegin()->first > lowest) {
+    refuse_queued(by_level_.rbegin()->second, refusal::overload);
+  }
 }
 
 void run_queue::begin_drain() {
--- a/src/decisions/slot_split.cc
+++ b/src/decisions/slot_split.cc
@@ -30,9 +30,9 @@
 
 auto slot_split::kind_of(const call_context& call) const -> work_kind {
   const auto found = classes_.find(call.name);
-  if (found == classes_.end() || found->second.is_long) {
-    return work_kind::long_running;
-  }
+  const auto is_long =
+      found == classes_.end() ? !classes_.empty() : found->second.is_long;
+  if (is_long) return work_kind::long_running;
   // Calls with a key are not lookups: confining them would refuse important
   // work while less important lookups of callers run.
   if (call.depth > 0 && call.key.value.empty()) return work_kind::internal;
