Reserve slots of waiting work for long work only

Cause: waiting lookups between services had a reserved slot and ran while more important queued calls became stale. Change: only long work has guaranteed slots; the order check compares arrivals under one threshold only.

--- a/bench/chain.h
+++ b/bench/chain.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <memory>
 #include <string>
@@ -251,6 +252,7 @@
   auto admit(const call_context& call, node& entry) -> bool {
     const auto now = loop_.now();
     const auto reason = entry.gate.decide(call, now);
+    entry.entries.threshold(entry.gate.threshold_of(call.name, now), now);
     if (reason == refusal::none) {
       entry.entries.admitted(call.importance, now);
       return true;
@@ -378,4 +380,28 @@
   std::vector<node*> all_;
 };
 
+// Completed requests per second in [from, to).
+inline auto goodput(const chain_run& run, time_point from, time_point to)
+    -> double {
+  const auto good =
+      std::count_if(run.results.begin(), run.results.end(), [&](const auto& x) {
+        return x.complete && x.ended >= from && x.ended < to;
+      });
+  return static_cast<double>(good) / ((to - from) / seconds(1));
+}
+
+// Share of the requests up to `importance` begun in [from, to) that are
+// complete within the time-out, counted from the first attempt.
+inline auto on_time(const chain_run& run, int importance, time_point from,
+                    time_point to) -> double {
+  auto all = 0;
+  auto good = 0;
+  for (const auto& x : run.results) {
+    if (x.importance > importance || x.begun < from || x.begun >= to) continue;
+    all += 1;
+    if (x.complete && x.ended - x.begun <= request_timeout) good += 1;
+  }
+  return all == 0 ? 0 : static_cast<double>(good) / all;
+}
+
 }  // namespace figwind::bench
--- a/bench/fake_server.h
+++ b/bench/fake_server.h
@@ -79,8 +79,8 @@
 };
 
 /// Counts refusals of important work while less important work is admitted at
-/// the same queue: started between arrival and refusal or within 10 ms of the
-/// refusal, or still waiting.
+/// the same queue: started between its arrival and its refusal, or within 10 ms
+/// of the refusal under the same threshold.
 class order_check {
  public:
   void admitted(int importance, time_point now) {
@@ -92,8 +92,17 @@
                   [&](const auto& x) { return now - x.second > near; });
   }
 
+  /// Tells the threshold in force; with a new one, what was admitted under the
+  /// old one is no longer compared with arrivals.
+  void threshold(admission_level level, time_point now) {
+    if (level == threshold_) return;
+    threshold_ = level;
+    changed_ = now;
+    refused_.clear();
+  }
+
   void refused(int importance, time_point arrived, time_point now) {
-    const auto since = std::min(arrived, now - near);
+    const auto since = std::min(arrived, std::max(now - near, changed_));
     auto found = false;
     for (const auto& [rank, at] : admitted_) {
       found = found || (rank > importance && at >= since);
@@ -107,6 +116,8 @@
  private:
   static constexpr auto near = milliseconds(10);
 
+  admission_level threshold_ = open_threshold;
+  time_point changed_{-1e18};
   std::map<int, time_point> admitted_;
   std::vector<std::pair<int, time_point>> refused_;
   long violations_ = 0;
@@ -131,6 +142,7 @@
       return;
     }
     const auto result = queue_.arrive(x.call, loop_->now());
+    order.threshold(queue_.threshold(), loop_->now());
     if (result.verdict == arrival_verdict::refused) {
       note_refusal(x.call, loop_->now(), result.reason);
       x.refuse(result.reason);
@@ -186,6 +198,7 @@
 
   void tick() {
     const auto actions = queue_.tick(loop_->now());
+    order.threshold(queue_.threshold(), loop_->now());
     for (const auto& x : actions.refused) {
       auto held = std::move(jobs_.at(x.ticket.value));
       jobs_.erase(x.ticket.value);
--- a/include/figwind/slot_split.h
+++ b/include/figwind/slot_split.h
@@ -37,7 +37,7 @@
   /// The same for caller-facing work against internal work. Less is enough
   /// because internal calls give their slots back soon.
   double internal_headroom = 0.5;
-  /// Share of the slots, at least one, that waiting work of each kind gets.
+  /// Share of the slots, at least one, that waiting long work gets.
   fraction guaranteed{0.05};
   /// Time constant with which demand estimates rise and fall.
   duration rise = milliseconds(200);
--- a/src/decisions/slot_split.cc
+++ b/src/decisions/slot_split.cc
@@ -127,13 +127,12 @@
   if (free <= 0) return false;
   const auto entitled = running[index(kind)] < share(kind, limit);
   if (!entitled && !may_borrow(kind, free)) return false;
-  for (const auto other : {work_kind::internal, work_kind::long_running}) {
-    if (other == kind || waiting[index(other)] == 0) continue;
-    const auto owed = guaranteed(limit) - running[index(other)];
-    // Work that is owed its slots gets them first, but never the last one.
-    if (limit > 1) free -= std::max(owed, 0);
-  }
-  return free > 0 || running[index(kind)] == 0;
+  const auto long_work = index(work_kind::long_running);
+  if (kind == work_kind::long_running || waiting[long_work] == 0) return true;
+  // Waiting long work gets its guaranteed slots first, but never the last one.
+  const auto owed = guaranteed(limit) - running[long_work];
+  if (limit > 1) free -= std::max(owed, 0);
+  return free > 0;
 }
 
 auto slot_split::mean_held(work_kind kind) const -> duration {
