Hedge a probe of a slow server at once

Cause: a probe of a server that is still slow is one slow call.

Change: in the fake the entry node hedges a probe without waiting.

--- a/bench/server_fake.h
+++ b/bench/server_fake.h
@@ -189,8 +189,9 @@
     ++figures_.attempts;
     figures_.remote += a.delay > 1 ? 1 : 0;
     at(now_ + a.delay, [this, number] { reach(number); });
-    if (first && shape_.hedging && n.timer.delay().ms > 0) {
-      at(now_ + n.timer.delay().ms, [this, r] { hedge(r); });
+    const auto wait = chosen.probe ? 0.0 : n.timer.delay().ms;
+    if (first && shape_.hedging && (chosen.probe || wait > 0)) {
+      at(now_ + wait, [this, r] { hedge(r); });
     }
   }
 
