Use more evidence before a server counts as slow

Cause: chance alone set servers aside, and one slow call kept a server out of use while calls came one at a time; hedges spent what refused calls needed.

Change: estimate over 10 completions from 3x, let observations age over 5 s, treat small differences as equal, keep half of the retry burst from hedges, order the subset by weight. Tests of the balancer.

--- a/bench/balancer-bench.cc
+++ b/bench/balancer-bench.cc
@@ -31,13 +31,13 @@
   const auto slow_ms = shape.slow_ms;
   const auto robin = p99(true, slow_ms, false).p99 / p99(true, 0, false).p99;
   const auto calm = p99(false, 0, false);
+  const auto start = "balancer." + where.name + "." + name;
   const auto slow = p99(false, slow_ms, false);
   const auto calm_hedged = p99(false, 0, true);
   const auto hedged = p99(false, slow_ms, true);
-  const auto start = "balancer." + where.name + "." + name;
   print({start + ".p99_without_straggler", "ms", calm.p99, {}, {}});
   print({start + ".p99_ratio", "x", slow.p99 / calm.p99, robin, p99_target});
-  print({start + ".remote", "fraction", slow.remote, {}, {}});
+  print({start + ".remote", "fraction", slow.remote, calm.remote, {}});
   print({start + ".hedged.p99_ratio", "x", hedged.p99 / calm.p99, robin,
          p99_target});
   print({start + ".hedged.calm_p99_ratio",
@@ -122,6 +122,12 @@
     auto quick = shape;
     quick.service_ms = 10;
     print_straggler(where, quick, "exponential_10ms");
+    auto often = shape;
+    often.slow_ms = 2000;
+    print_straggler(where, often, "exponential_40ms_slow_80_percent");
+    auto nearby = even;
+    nearby.service_ms = 5;
+    print_straggler(where, nearby, "even_5ms");
   }
   for (const auto count : {6, 100, 1000}) print_cost(count);
   print_moves();
--- a/bench/server_fake.h
+++ b/bench/server_fake.h
@@ -202,7 +202,7 @@
   void hedge(std::size_t r) {
     auto& q = requests_[r];
     if (q.done || q.attempts.size() != 1 || q.allowance == 0) return;
-    if (!node_of(r).share.take_extra()) return;
+    if (!node_of(r).share.take_hedge()) return;
     --q.allowance;
     send(r, false);
   }
--- a/include/figwind/retry.h
+++ b/include/figwind/retry.h
@@ -138,6 +138,9 @@
   /// Takes one extra attempt if there is one.
   auto take_extra() -> bool;
 
+  /// The same for a hedge; leaves half of the burst for retries.
+  auto take_hedge() -> bool;
+
   /// Share of attempts that ended overloaded of late.
   auto overloaded() const -> fraction { return {overloaded_}; }
 
--- a/src/decisions/balancer.cc
+++ b/src/decisions/balancer.cc
@@ -10,12 +10,17 @@
 
 namespace {
 
-/// Expected completions over which a server's slowness is estimated.
-constexpr auto window = 6.0;
+/// Expected completions over which a server's slowness is estimated; with 6
+/// completions and 2.5, 5% of the calls left the domain without a straggler.
+constexpr auto window = 10.0;
 /// Weight of the assumption that a server is as fast as is usual.
 constexpr auto prior = 1.0;
 /// Slowness at which a server is set aside.
-constexpr auto slow_from = 2.5;
+constexpr auto slow_from = 3.0;
+/// Slowness below which servers count as equally fast.
+constexpr auto same_speed = 1.5;
+/// Time over which an observation loses its weight.
+constexpr auto memory = seconds(5);
 /// A probe that takes at most this many usual latencies is a good one.
 constexpr auto good_probe = 2.0;
 /// A server 10x slower passes one probe in 5, so one is not enough.
@@ -60,8 +65,14 @@
   duration backoff = shortest_backoff;
 
   void advance(time_point now) {
-    const auto added = rate * std::max((now - last).ms, 0.0);
-    last = std::max(last, now);
+    const auto passed = now - last;
+    if (passed.ms <= 0) return;
+    last = now;
+    // A server that is avoided shows nothing new, so what is known ages.
+    const auto relaxed = std::exp(-(passed / memory));
+    exposure = window + (exposure - window) * relaxed;
+    completions = window + (completions - window) * relaxed;
+    const auto added = rate * passed.ms;
     if (added <= 0) return;
     const auto kept = std::exp(-added / window);
     exposure = exposure * kept + window * (1 - kept);
@@ -77,7 +88,9 @@
   }
 
   auto load() const -> double {
-    return slowness() * (in_flight + 1) / std::max(info.slots, 1);
+    // Small differences are chance; they must not send all calls one way.
+    const auto slow = slowness() < same_speed ? 1.0 : slowness();
+    return slow * (in_flight + 1) / std::max(info.slots, 1);
   }
 };
 
@@ -189,7 +202,7 @@
         XXH3_64bits_withSeed(address.data(), address.size(), seed), i);
   }
   const auto end = weighted.begin() + static_cast<std::ptrdiff_t>(count);
-  std::nth_element(weighted.begin(), end, weighted.end(), std::greater<>{});
+  std::partial_sort(weighted.begin(), end, weighted.end(), std::greater<>{});
   auto out = std::vector<server>{};
   for (auto i = weighted.begin(); i != end; ++i) {
     out.push_back(servers[i->second]);
--- a/src/decisions/retry.cc
+++ b/src/decisions/retry.cc
@@ -103,6 +103,12 @@
   tokens_ = std::min(tokens_ + earned, settings_.burst);
 }
 
+auto retry_share::take_hedge() -> bool {
+  // A retry after a refusal saves a call, a hedge only makes one faster.
+  if (tokens_ < settings_.burst / 2) return false;
+  return take_extra();
+}
+
 void retry_share::ended(bool overloaded) {
   // About the last 50 attempts: some 0.2 s of a node with 250 calls/s.
   constexpr auto weight = 0.02;
--- /dev/null
+++ b/test/balancer-test.cc
@@ -0,0 +1,230 @@
+#include "figwind/balancer.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+
+#include "section.h"
+
+using namespace figwind;
+using figwind::test::section;
+
+namespace {
+
+const auto service = service_name{"depozit"};
+const auto kind = class_name{"lookup"};
+
+auto make_server(int i, const std::string& domain) -> server {
+  const auto address = "10.0.0." + std::to_string(i) + ":7201";
+  return {{{address}, {1}}, {address}, {domain}, 4, 50};
+}
+
+/// One entry node in domain "a" that makes calls one after the other.
+struct entry {
+  explicit entry(std::vector<server> list) : servers{std::move(list)} {
+    routes.set_servers(service, servers);
+  }
+
+  auto choose() -> choice { return routes.choose(service, {}, now, random); }
+
+  auto start() -> attempt_ticket {
+    return routes.started(service, choose(), kind, now);
+  }
+
+  /// Starts a call each 2.5 ms; they take 10 ms, or 100 ms on slow servers.
+  void call(int count) {
+    for (auto i = 0; i < count; ++i) {
+      const auto chosen = choose();
+      const auto slow = std::find(slow_ids.begin(), slow_ids.end(),
+                                  chosen.target->id) != slow_ids.end();
+      slow_calls += slow ? 1 : 0;
+      const auto end = now + milliseconds(slow ? 100 : 10);
+      open.emplace(end, routes.started(service, chosen, kind, now));
+      now = now + milliseconds(2.5);
+      end_due();
+    }
+  }
+
+  void end_due() {
+    while (!open.empty() && open.begin()->first <= now) {
+      const auto [end, ticket] = *open.begin();
+      routes.finished(ticket, attempt_end::answered, end);
+      open.erase(open.begin());
+    }
+  }
+
+  std::vector<server> servers;
+  balancer routes{{{"10.0.0.99:7001"}, {"a"}}};
+  random_source random{1};
+  time_point now;
+  std::multimap<time_point, attempt_ticket> open;
+  std::vector<node_id> slow_ids;
+  int slow_calls = 0;
+};
+
+auto local(int count) -> std::vector<server> {
+  auto out = std::vector<server>{};
+  for (auto i = 0; i < count; ++i) out.push_back(make_server(i, "a"));
+  return out;
+}
+
+}  // namespace
+
+// Guards against calls that cross domains without need, and against refusals
+// while another domain has room.
+TEST(balancer, prefers_its_own_domain_and_spills_over_before_refusing) {
+  section("given one local and one remote server with 4 slots", [] {
+    auto e = entry{{make_server(1, "a"), make_server(2, "b")}};
+    auto tickets = std::vector<attempt_ticket>{};
+    section("4 calls stay local, the next leaves", [&] {
+      for (auto i = 0; i < 4; ++i) {
+        EXPECT_FALSE(e.choose().remote);
+        tickets.push_back(e.start());
+      }
+      EXPECT_TRUE(e.choose().remote);
+    });
+    section("after an overload answer calls leave for a while", [&] {
+      for (const auto t : tickets) {
+        e.routes.refused(t, refusal::overload, e.now);
+      }
+      EXPECT_TRUE(e.choose().remote);
+      e.now = e.now + milliseconds(60);
+      EXPECT_FALSE(e.choose().remote);
+    });
+    section("a call that tried both is refused for overload", [&] {
+      const auto tried = std::vector{e.servers[0].id, e.servers[1].id};
+      const auto none = e.routes.choose(service, tried, e.now, e.random);
+      EXPECT_EQ(none.target, nullptr);
+      EXPECT_EQ(none.reason, refusal::overload);
+    });
+  });
+}
+
+// Guards against work for a server that is being returned.
+TEST(balancer, skips_draining_servers_at_once) {
+  section("given a server that answers that it drains", [] {
+    auto e = entry{{make_server(1, "a"), make_server(2, "b")}};
+    e.routes.refused(e.start(), refusal::draining, e.now);
+    EXPECT_TRUE(e.choose().remote);
+    section("an older list does not undo it", [&] {
+      e.routes.set_servers(service, e.servers);
+      EXPECT_TRUE(e.choose().remote);
+    });
+    section("its next start is used", [&] {
+      e.servers[0].id.start.value = 2;
+      e.routes.set_servers(service, e.servers);
+      EXPECT_FALSE(e.choose().remote);
+    });
+    section("with all draining there is no server", [&] {
+      for (const auto& s : e.servers) e.routes.mark_draining(service, s.id);
+      EXPECT_EQ(e.choose().reason, refusal::no_server);
+    });
+  });
+}
+
+// Guards against calls that pile up on a stalled server, and against a server
+// that is never used again.
+TEST(balancer, sets_a_straggler_aside_and_takes_it_back) {
+  section("given 4 servers, one of which stalls", [] {
+    auto e = entry{local(4)};
+    e.call(200);
+    e.slow_ids = {e.servers[2].id};
+    e.call(200);
+    section("it is set aside and few calls test it", [&] {
+      EXPECT_EQ(e.routes.set_aside(service), e.slow_ids);
+      e.slow_calls = 0;
+      e.call(400);
+      EXPECT_LE(e.slow_calls, 8);
+    });
+    section("it returns when it is fast again", [&] {
+      e.slow_ids.clear();
+      e.call(400);
+      EXPECT_TRUE(e.routes.set_aside(service).empty());
+    });
+  });
+  section("given calls in flight that nobody answers", [] {
+    auto e = entry{local(2)};
+    e.call(100);
+    const auto chosen = e.choose();
+    for (auto i = 0; i < 3; ++i) {
+      e.routes.started(service, chosen, kind, e.now);
+    }
+    section("the server is avoided before any of them ends", [&] {
+      e.now = e.now + milliseconds(80);
+      EXPECT_NE(e.choose().target->id, chosen.target->id);
+      EXPECT_EQ(e.routes.set_aside(service).size(), 1U);
+    });
+  });
+}
+
+// Guards against a server that a single slow call keeps out of use for ever.
+TEST(balancer, forgets_a_slow_call_in_time) {
+  auto e = entry{local(2)};
+  e.call(100);
+  e.slow_ids = {e.servers[0].id};
+  while (e.slow_calls == 0) e.call(1);
+  e.now = e.now + milliseconds(100);
+  e.end_due();
+  auto calls_of_first = 0;
+  for (auto i = 0; i < 400; ++i) {
+    e.now = e.now + milliseconds(50);
+    const auto chosen = e.choose();
+    calls_of_first += chosen.target->id == e.servers[0].id ? 1 : 0;
+    const auto ticket = e.routes.started(service, chosen, kind, e.now);
+    e.now = e.now + milliseconds(10);
+    e.routes.finished(ticket, attempt_end::answered, e.now);
+  }
+  EXPECT_GE(calls_of_first, 100);
+}
+
+// Guards against a slow phase of all servers that leaves none in use.
+TEST(balancer, sets_at_most_a_third_aside_when_all_are_slow) {
+  auto e = entry{local(6)};
+  e.call(200);
+  for (const auto& s : e.servers) e.slow_ids.push_back(s.id);
+  for (auto i = 0; i < 100; ++i) {
+    e.call(3);
+    EXPECT_LE(e.routes.set_aside(service).size(), 2U);
+  }
+}
+
+// Guards against connections that move with every change of membership, and
+// against a subset that depends on the order of the list.
+TEST(balancer, keeps_its_subset_under_change) {
+  auto all = local(200);
+  const auto self = vm_address{"10.0.1.1:7001"};
+  const auto before = rendezvous_subset(self, all, 12);
+  section("reversed", [&] {
+    std::reverse(all.begin(), all.end());
+    EXPECT_TRUE(rendezvous_subset(self, all, 12) == before);
+  });
+  section("without one of its servers", [&] {
+    std::erase(all, before[3]);
+    const auto after = rendezvous_subset(self, all, 12);
+    auto kept = 0;
+    for (const auto& s : before) {
+      kept += std::find(after.begin(), after.end(), s) != after.end() ? 1 : 0;
+    }
+    EXPECT_EQ(kept, 11);
+  });
+}
+
+// Guards against counts that drift when a call ends after its server has left,
+// or twice.
+TEST(balancer, ends_each_attempt_once) {
+  auto e = entry{{make_server(1, "a"), make_server(2, "b")}};
+  const auto ticket = e.start();
+  e.routes.set_servers(service, {e.servers[1]});
+  e.routes.finished(ticket, attempt_end::answered, e.now);
+  e.routes.set_servers(service, e.servers);
+  const auto again = e.start();
+  for (auto i = 0; i < 3; ++i) {
+    e.routes.finished(again, attempt_end::answered, e.now);
+  }
+  for (auto i = 0; i < 4; ++i) {
+    EXPECT_FALSE(e.choose().remote);
+    e.start();
+  }
+  EXPECT_TRUE(e.choose().remote);
+}
--- a/test/retry-test.cc
+++ b/test/retry-test.cc
@@ -111,6 +111,17 @@
   });
 }
 
+// Guards against hedges that leave nothing for the retry of a refused call.
+TEST(retry_share, keeps_half_of_its_burst_from_hedges) {
+  auto share = retry_share{};
+  auto hedges = 0;
+  while (share.take_hedge()) ++hedges;
+  auto retries = 0;
+  while (share.take_extra()) ++retries;
+  EXPECT_EQ(hedges, 11);
+  EXPECT_EQ(retries, 9);
+}
+
 // Guards against a delay that hedges most calls, or none.
 TEST(hedge_timer, hedges_one_of_twenty) {
   auto random = random_source{5};
