Refuse requests that crash the servers which run them

Cause: one request sent again and again takes down server after server, and every request that runs beside it looks as guilty.

Change: marks of crashes per request fingerprint, cleared by completion, merged between nodes in any order; of the requests that were present at a crash one runs at a time on each server.

--- /dev/null
+++ b/src/decisions/crash_guard.cc
@@ -0,0 +1,178 @@
+#include "figwind/crash_guard.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace figwind {
+
+auto fingerprint_of(const class_name& name, const request_key& key,
+                    std::string_view body) -> request_fingerprint {
+  const auto& text = name.value;
+  const auto of_class = XXH3_64bits(text.data(), text.size());
+  const auto rest = key.value.empty() ? body : std::string_view{key.value};
+  // The bit keeps a key apart from a body with the same bytes.
+  const auto seed = of_class ^ (key.value.empty() ? 0U : 1U);
+  return {XXH3_64bits_withSeed(rest.data(), rest.size(), seed)};
+}
+
+crash_guard::crash_guard(node_id self, crash_guard_settings settings)
+    : self_{std::move(self)}, settings_{settings} {}
+
+auto crash_guard::open_marks(request_fingerprint request, time_point now) const
+    -> std::size_t {
+  const auto found = known_.find(request);
+  if (found == known_.end()) return 0;
+  const auto oldest = now - settings_.retention;
+  const auto open =
+      std::count_if(found->second.begin(), found->second.end(),
+                    [&](const mark& m) { return !m.cleared && m.at > oldest; });
+  return static_cast<std::size_t>(open);
+}
+
+auto crash_guard::refused(request_fingerprint request, time_point now) const
+    -> bool {
+  return open_marks(request, now) >= settings_.crash_limit;
+}
+
+auto crash_guard::may_run(request_fingerprint request, time_point now) const
+    -> run_permit {
+  const auto marks = open_marks(request, now);
+  if (marks >= settings_.crash_limit) return run_permit::refuse;
+  if (marks == 0) return run_permit::run;
+  const auto other_suspect =
+      std::any_of(running_.begin(), running_.end(), [&](const auto& r) {
+        return r.first != request && open_marks(r.first, now) > 0;
+      });
+  return other_suspect ? run_permit::wait : run_permit::run;
+}
+
+void crash_guard::started(request_fingerprint request) {
+  ++running_[request];
+}
+
+void crash_guard::finished(request_fingerprint request, bool completed,
+                           time_point now) {
+  const auto running = running_.find(request);
+  // It ran when the server crashed, so its end is not its own.
+  if (running == running_.end()) return;
+  if (--running->second == 0) running_.erase(running);
+  const auto found = known_.find(request);
+  if (!completed || found == known_.end()) return;
+  if (open_marks(request, now) == 0) return;
+  for (auto& m : found->second) m.cleared = true;
+  note_change(request);
+}
+
+auto crash_guard::crashed(time_point now) -> crash_report {
+  ++crashes_;
+  const auto& address = self_.address.value;
+  const auto seed = self_.start.value * 0x9e3779b97f4a7c15U + crashes_;
+  const auto crash = XXH3_64bits_withSeed(address.data(), address.size(), seed);
+  auto report = crash_report{};
+  for (const auto& [request, count] : running_) {
+    if (known_.count(request) == 0) make_room(now);
+    auto& marks = known_[request];
+    add(marks, {crash, now, false});
+    note_change(request);
+    report.entries.push_back(export_entry(request, marks, now));
+  }
+  running_.clear();
+  return report;
+}
+
+auto crash_guard::add(marks& known, const mark& seen) -> bool {
+  const auto same =
+      std::find_if(known.begin(), known.end(),
+                   [&](const mark& m) { return m.crash == seen.crash; });
+  if (same != known.end()) {
+    const auto changes = seen.cleared && !same->cleared;
+    same->cleared = same->cleared || seen.cleared;
+    return changes;
+  }
+  known.push_back(seen);
+  // Cleared marks beyond a few tell nothing more; open ones count to the limit.
+  constexpr auto most = std::size_t{8};
+  if (known.size() <= most) return true;
+  const auto oldest = std::min_element(
+      known.begin(), known.end(), [](const mark& a, const mark& b) {
+        return a.cleared != b.cleared ? a.cleared : a.at < b.at;
+      });
+  known.erase(oldest);
+  return true;
+}
+
+void crash_guard::note_change(request_fingerprint request) {
+  const auto listed = std::find(changed_.begin(), changed_.end(), request);
+  if (listed == changed_.end()) changed_.push_back(request);
+}
+
+auto crash_guard::export_entry(request_fingerprint request, const marks& known,
+                               time_point now) const -> crash_entry {
+  auto out = crash_entry{request, {}};
+  for (const auto& m : known) {
+    const auto age = now - m.at;
+    if (age >= settings_.retention) continue;
+    out.marks.push_back({m.crash, age.ms, m.cleared});
+  }
+  return out;
+}
+
+auto crash_guard::report_of(request_fingerprint request, time_point now) const
+    -> crash_report {
+  const auto found = known_.find(request);
+  if (found == known_.end()) return {};
+  return {{export_entry(request, found->second, now)}};
+}
+
+auto crash_guard::changes(std::size_t limit, time_point now) -> crash_report {
+  auto out = crash_report{};
+  const auto count = std::min(limit, changed_.size());
+  for (auto i = std::size_t{0}; i < count; ++i) {
+    const auto found = known_.find(changed_[i]);
+    if (found == known_.end()) continue;
+    out.entries.push_back(export_entry(found->first, found->second, now));
+  }
+  changed_.erase(changed_.begin(),
+                 changed_.begin() + static_cast<std::ptrdiff_t>(count));
+  return out;
+}
+
+auto crash_guard::everything(time_point now) const -> crash_report {
+  auto out = crash_report{};
+  for (const auto& [request, marks] : known_) {
+    out.entries.push_back(export_entry(request, marks, now));
+  }
+  return out;
+}
+
+void crash_guard::merge(const crash_report& report, time_point now) {
+  for (const auto& entry : report.entries) {
+    for (const auto& m : entry.marks) {
+      if (!(m.age_ms >= 0) || m.age_ms >= settings_.retention.ms) continue;
+      if (known_.count(entry.request) == 0) make_room(now);
+      const auto seen = mark{m.crash, now - milliseconds(m.age_ms), m.cleared};
+      if (add(known_[entry.request], seen)) note_change(entry.request);
+    }
+  }
+}
+
+void crash_guard::make_room(time_point now) {
+  if (known_.size() < settings_.capacity) return;
+  const auto oldest = now - settings_.retention;
+  std::erase_if(known_, [&](const auto& entry) {
+    return std::all_of(entry.second.begin(), entry.second.end(),
+                       [&](const mark& m) { return m.at <= oldest; });
+  });
+  if (known_.size() < settings_.capacity) return;
+  const auto value = [&](const auto& entry) {
+    auto last = time_point{};
+    for (const auto& m : entry.second) last = std::max(last, m.at);
+    return std::pair{open_marks(entry.first, now), last};
+  };
+  known_.erase(std::min_element(
+      known_.begin(), known_.end(),
+      [&](const auto& a, const auto& b) { return value(a) < value(b); }));
+}
+
+}  // namespace figwind
--- /dev/null
+++ b/test/crash_guard-test.cc
@@ -0,0 +1,122 @@
+#include "figwind/crash_guard.h"
+
+#include <gtest/gtest.h>
+
+#include "crash_fake.h"
+#include "section.h"
+
+using namespace figwind;
+using figwind::test::section;
+
+namespace {
+
+const auto poison = fingerprint_of({"scan"}, {}, "poison");
+const auto innocent = fingerprint_of({"scan"}, {}, "innocent");
+
+auto guard_at(int i) -> crash_guard {
+  return crash_guard{{{std::to_string(i)}, {1}}};
+}
+
+}  // namespace
+
+// Guards against one request that takes down server after server.
+TEST(crash_guard, refuses_a_request_after_two_crashes) {
+  auto first = guard_at(1);
+  auto second = guard_at(2);
+  auto entry = guard_at(3);
+  auto now = time_point{0};
+  section("given two requests at a first crash", [&] {
+    first.started(poison);
+    first.started(innocent);
+    second.merge(first.crashed(now), now);
+    EXPECT_FALSE(second.refused(poison, now));
+  });
+  section("two suspects do not run at the same time", [&] {
+    EXPECT_EQ(second.may_run(innocent, now), run_permit::run);
+    second.started(innocent);
+    EXPECT_EQ(second.may_run(poison, now), run_permit::wait);
+  });
+  section("the one that completes is cleared", [&] {
+    second.finished(innocent, true, now);
+    EXPECT_EQ(second.may_run(poison, now), run_permit::run);
+  });
+  section("the other is refused everywhere after its second crash", [&] {
+    second.started(poison);
+    second.started(innocent);
+    entry.merge(second.crashed(now), now);
+    EXPECT_TRUE(entry.refused(poison, now));
+    EXPECT_FALSE(entry.refused(innocent, now));
+  });
+  section("other requests of the class run", [&] {
+    const auto other = fingerprint_of({"scan"}, {}, "other");
+    EXPECT_EQ(second.may_run(other, now), run_permit::run);
+  });
+  section("it is forgotten after the retention", [&] {
+    now = now + minutes(10);
+    EXPECT_FALSE(entry.refused(poison, now));
+  });
+}
+
+// Guards against blame that depends on the order or number of messages.
+TEST(crash_guard, merges_in_any_order) {
+  const auto now = time_point{0};
+  auto source = guard_at(1);
+  source.started(poison);
+  const auto marked = source.crashed(now);
+  source.started(poison);
+  source.finished(poison, true, now);
+  const auto cleared = source.everything(now);
+  section("a clearing that arrives first is not undone", [&] {
+    auto other = guard_at(2);
+    for (const auto& report : {cleared, marked, marked}) {
+      other.merge(report, now);
+    }
+    EXPECT_EQ(other.everything(now), cleared);
+  });
+  section("what is known already is not passed on again", [&] {
+    auto other = guard_at(2);
+    other.merge(marked, now);
+    EXPECT_EQ(other.changes(10, now).entries.size(), 1U);
+    other.merge(marked, now);
+    EXPECT_TRUE(other.changes(10, now).entries.empty());
+  });
+}
+
+// Guards against memory that grows with crashes, and against a refused request
+// that is forgotten before harmless ones.
+TEST(crash_guard, is_bounded_and_drops_the_least_suspected) {
+  const auto now = time_point{0};
+  auto settings = crash_guard_settings{};
+  settings.capacity = 10;
+  auto guard = crash_guard{{{"1"}, {1}}, settings};
+  for (auto i = 0; i < 2; ++i) {
+    guard.started(poison);
+    guard.crashed(now);
+  }
+  for (auto i = 0; i < 100; ++i) {
+    guard.started(fingerprint_of({"scan"}, {}, std::to_string(i)));
+    guard.crashed(now);
+  }
+  EXPECT_LE(guard.size(), 10U);
+  EXPECT_TRUE(guard.refused(poison, now));
+}
+
+// Guards against innocent requests refused because they ran beside a bad one
+// once, and against servers that go on crashing.
+TEST(crash_guard, spares_requests_that_ran_beside_the_poisoned_one) {
+  for (auto seed = 1U; seed <= 20; ++seed) {
+    section("given one poisoned request among 300", [&] {
+      const auto result = test::run_crashes({}, seed);
+      EXPECT_EQ(result.crashes, 2);
+      EXPECT_EQ(result.poisoned_refused, 1);
+      EXPECT_EQ(result.innocents_complete, 300);
+    });
+    section("given three that arrive together", [&] {
+      const auto result = test::run_crashes({.poisoned = 3}, seed);
+      EXPECT_LE(result.crashes, 6);
+      EXPECT_EQ(result.poisoned_refused, 3);
+      EXPECT_EQ(result.refused_early, 0);
+      EXPECT_EQ(result.innocents_complete + result.innocents_refused, 300);
+    });
+  }
+}
