--- a/include/figwind/storage.h
+++ b/include/figwind/storage.h
@@ -98,6 +98,7 @@
   auto check(io_status status) -> bool;
   auto read_file(const std::string& name, findings& found) -> file_content;
   auto replace_file(const std::string& name, const std::string& bytes) -> bool;
+  auto append_frame(const std::string& payload) -> bool;
 
   Files& files_;
   io_status status_ = io_status::done;
@@ -144,16 +145,17 @@
   auto usable = check(files_.remove(std::string{snapshot_name} + ".new")) &&
                 check(files_.remove(std::string{log_name} + ".new"));
   if (usable && log.intact_size < log_file.bytes.size()) {
-    usable = check(files_.truncate(log_name, log.intact_size)) &&
-             check(files_.sync(log_name));
+    usable = check(files_.truncate(log_name, log.intact_size));
   }
+  // A record may have been written, but not synced, before a process crash.
+  if (usable && log_file.found) usable = check(files_.sync(log_name));
   // A rename before the crash may not be durable yet.
   usable = usable && check(files_.sync_folder());
   if (!usable) {
     return findings{
         {{log_name, 0, "", ""}, "cannot be prepared: " + to_string(status_)}};
   }
-  log_exists_ = log_file.found;
+  log_exists_ = log.intact_size > 0;
   log_size_ = log.intact_size;
   next_frame_ = log.next_frame;
   return state;
@@ -162,22 +164,34 @@
 template <file_port Files>
 auto storage<Files>::write(const persist_batch& batch) -> io_status {
   if (status_ != io_status::done) return status_;
-  auto frame = detail::encode_frame(next_frame_, detail::encode_batch(batch));
-  if (batch.snapshot) {
-    auto bytes = detail::encode_frame(0, encode(*batch.snapshot));
-    if (!replace_file(snapshot_name, bytes)) return status_;
-    if (!replace_file(log_name, frame)) return status_;
-    log_size_ = 0;
-    log_exists_ = true;
-  } else {
-    if (!check(files_.append(log_name, frame))) return status_;
-    if (!check(files_.sync(log_name))) return status_;
-    if (!log_exists_ && !check(files_.sync_folder())) return status_;
-    log_exists_ = true;
+  if (!batch.snapshot) {
+    append_frame(detail::encode_batch(batch));
+    return status_;
+  }
+  // A folder with a snapshot always has a log: a missing one is damage.
+  auto state_only = persist_batch{0, batch.state, std::nullopt, {}};
+  if (!log_exists_ && !append_frame(detail::encode_batch(state_only))) {
+    return status_;
   }
+  auto bytes = detail::encode_frame(0, encode(*batch.snapshot));
+  auto frame = detail::encode_frame(next_frame_, detail::encode_batch(batch));
+  if (!replace_file(snapshot_name, bytes)) return status_;
+  if (!replace_file(log_name, frame)) return status_;
   ++next_frame_;
-  log_size_ += frame.size();
+  log_size_ = frame.size();
   return status_;
 }
 
+template <file_port Files>
+auto storage<Files>::append_frame(const std::string& payload) -> bool {
+  auto frame = detail::encode_frame(next_frame_, payload);
+  if (!check(files_.append(log_name, frame))) return false;
+  if (!check(files_.sync(log_name))) return false;
+  if (!log_exists_ && !check(files_.sync_folder())) return false;
+  log_exists_ = true;
+  ++next_frame_;
+  log_size_ += frame.size();
+  return true;
+}
+
 }  // namespace figwind
--- a/src/decisions/consensus_replication.cc
+++ b/src/decisions/consensus_replication.cc
@@ -246,6 +246,7 @@
     note_progress(p.id, p.generation, p.acknowledged);
   }
   auto reply = append_reply{header(), false, 0, last_index(), !snapshot_};
+  if (!snapshot_) waiting_ = true;
   if (!snapshot_ || !matches(m)) {
     if (snapshot_) reply.index = last_possible_match(m);
     send_durable(m.header.from, reply);
@@ -278,8 +279,13 @@
 }
 
 void consensus::handle(const append_reply& m) {
-  if (role_ != member_role::leader || !is_current(m.header)) return;
+  if (role_ != member_role::leader) return;
   auto id = m.header.from;
+  if (!is_current(m.header)) {
+    // The member answers with a disk that is not agreed on yet.
+    if (m.header.generation.value != 0) joining_[id] = m.header.generation;
+    return;
+  }
   auto& f = followers_[id];
   f.last_reply = now_;
   if (m.last_index < f.acknowledged) {
