--- /dev/null
+++ b/test/membership-test.cc
@@ -0,0 +1,384 @@
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <functional>
+#include <set>
+
+#include "figwind/node_view.h"
+#include "figwind/registry.h"
+#include "section.h"
+
+using namespace figwind;
+using figwind::test::section;
+
+namespace {
+
+const auto service = service_name{"contracte"};
+
+auto domain_of(const std::string& name) -> failure_domain {
+  return {name.substr(0, 1)};
+}
+
+/// Control members `a0`, `b0`, ... and nodes `a1`, `b2`, ..., one domain per
+/// letter, over links of 5 ms that can be cut and can lose messages.
+class cluster {
+ public:
+  explicit cluster(const std::string& domains) {
+    for (char x : domains) places_.push_back({{x + std::string{"0"}}, {{x}}});
+    for (const auto& x : places_) start_member(x.address.value);
+  }
+
+  void start_member(const std::string& name) {
+    members.erase(name);
+    members.try_emplace(name, member_place{{name}, domain_of(name)}, places_,
+                        ++last_epoch_, registry_options{}, time_point{now});
+  }
+  void stop_member(const std::string& name) { members.erase(name); }
+
+  void start_node(const std::string& name, std::uint64_t life = 1) {
+    auto self = server_record{};
+    self.node = {{name}, {life}};
+    self.service = service;
+    self.domain = domain_of(name);
+    self.call_address = {name + "-call"};
+    nodes.erase(name);
+    auto& x = nodes
+                  .try_emplace(name, self, places_, node_view_options{},
+                               random_source{std::hash<std::string>{}(name)})
+                  .first->second;
+    x.announce(server_state::serving, 75, 550);
+  }
+  void stop_node(const std::string& name) { nodes.erase(name); }
+
+  void run(double ms) {
+    for (const auto end = now + ms; now < end; now += 5) {
+      auto due = std::move(messages_);
+      messages_.clear();
+      for (const auto& deliver : due) deliver();
+      for (auto& [name, x] : nodes) post(name, x.on_tick({now}));
+      for (auto& [name, x] : members) post(name, x.on_tick({now}));
+      if (each_step) each_step();
+    }
+  }
+
+  auto seen(const std::string& node) -> std::set<std::string> {
+    auto out = std::set<std::string>{};
+    for (const auto& x : nodes.at(node).servers(service, {now})) {
+      out.insert(x.server.node.address.value + "/" +
+                 std::to_string(x.server.node.start.value));
+    }
+    return out;
+  }
+
+  auto separated(const std::string& a, const std::string& b) const -> bool {
+    return cut.count(a[0]) != cut.count(b[0]);
+  }
+
+  std::map<std::string, registry> members;
+  std::map<std::string, node_view> nodes;
+  std::map<std::string, std::vector<config_record>> configs;
+  /// Domains on the far side of a partition.
+  std::set<char> cut;
+  std::function<bool(const std::string& from, const std::string& to)> lost;
+  std::function<void()> each_step;
+  double now = 0;
+
+ private:
+  void send(const std::string& from, const std::string& to,
+            std::function<void()> deliver) {
+    if (separated(from, to) || (lost && lost(from, to))) return;
+    messages_.push_back(std::move(deliver));
+  }
+
+  void post(const std::string& from, std::vector<outgoing<heartbeat>> all) {
+    for (const auto& x : all) {
+      const auto to = x.to.value;
+      send(from, to, [=, this, beat = x.message] {
+        if (members.count(to) == 0) return;
+        const auto reply = members.at(to).on_heartbeat(beat, {now}).message;
+        send(to, from, [=, this] {
+          if (nodes.count(from) == 0) return;
+          auto effect = nodes.at(from).on_reply(reply, {now});
+          for (const auto& c : effect.configs) {
+            nodes.at(from).note_in_force(c.version);
+            configs[from].push_back(c);
+          }
+          post(from, effect.heartbeats);
+        });
+      });
+    }
+  }
+
+  void post(const std::string& from,
+            std::vector<outgoing<digest_request>> all) {
+    for (const auto& x : all) {
+      const auto to = x.to.value;
+      send(from, to, [=, this, request = x.message] {
+        if (members.count(to) == 0) return;
+        auto digest = members.at(to).on_digest_request(request, {now}).message;
+        send(to, from, [=, this] {
+          if (members.count(from) == 0) return;
+          post(from, members.at(from).on_digest(digest, {now}));
+        });
+      });
+    }
+  }
+
+  std::vector<member_place> places_;
+  std::deque<std::function<void()>> messages_;
+  std::uint64_t last_epoch_ = 0;
+};
+
+/// A cluster with one node in each domain that all nodes see.
+auto settled(const std::string& domains) -> std::unique_ptr<cluster> {
+  auto out = std::make_unique<cluster>(domains);
+  for (char x : domains) out->start_node(x + std::string{"1"});
+  for (auto& [name, x] : out->nodes) x.servers(service, {0});
+  out->run(12'000);
+  return out;
+}
+
+const auto all_three = std::set<std::string>{"a1/1", "b1/1", "c1/1"};
+
+}  // namespace
+
+// Guards against servers that never reach the nodes of other domains, and a
+// first call that waits for the next second.
+TEST(membership, spreads_servers_to_the_nodes_that_call_them) {
+  auto x = settled("abc");
+  EXPECT_EQ(x->seen("a1"), all_three);
+  section("given a new node, its first call waits for one round trip", [&] {
+    x->start_node("a2");
+    x->run(300);
+    EXPECT_FALSE(x->nodes.at("a2").knows(service));
+    EXPECT_TRUE(x->seen("a2").empty());
+    x->run(15);
+    EXPECT_TRUE(x->nodes.at("a2").knows(service));
+    EXPECT_EQ(x->seen("a2").size(), 4U);
+    EXPECT_TRUE(x->nodes.at("a2").ready());
+  });
+}
+
+// Guards against an earlier life of a server that hides a later one.
+TEST(membership, keeps_the_later_life_of_an_address) {
+  auto x = settled("ab");
+  auto stale = heartbeat{};
+  stale.self = x->nodes.at("b1").servers(service, {x->now})[0].server;
+  section("given a server that restarted at its address", [&] {
+    x->start_node("a1", 2);
+    x->run(2500);
+    EXPECT_EQ(x->seen("b1"), (std::set<std::string>{"a1/2", "b1/1"}));
+    section("a late heartbeat of the earlier life changes nothing", [&] {
+      stale.beat = 1'000'000;
+      x->members.at("a0").on_heartbeat(stale, {x->now});
+      x->run(2500);
+      EXPECT_EQ(x->seen("b1"), (std::set<std::string>{"a1/2", "b1/1"}));
+    });
+    section("an answer of the earlier life is no evidence", [&] {
+      x->stop_node("a1");
+      x->run(6000);
+      x->nodes.at("b1").note_answer({{"a1"}, {1}}, {x->now}, false);
+      EXPECT_EQ(x->seen("b1"), (std::set<std::string>{"b1/1"}));
+    });
+  });
+}
+
+// Guards against a server that stays listed under its old service after its
+// address was given to a server of another one.
+TEST(membership, takes_a_reused_address_for_a_new_server) {
+  auto member = registry{{{"a0"}, {"a"}}, {{{"a0"}, {"a"}}}, 7, {}, {0}};
+  auto beat = heartbeat{};
+  beat.self.node = {{"a1"}, {1}};
+  beat.self.service = service;
+  beat.self.state = server_state::serving;
+  beat.services = {{service, 0}};
+  beat.epoch = 7;
+  const auto first = member.on_heartbeat(beat, {0}).message;
+  ASSERT_EQ(first.services[0].servers.size(), 1U);
+  auto other = beat;
+  other.self.node.start = {2};
+  other.self.service = {"documente"};
+  other.services = {{service, first.services[0].cursor}};
+  const auto next = member.on_heartbeat(other, {10}).message;
+  ASSERT_EQ(next.services.size(), 1U);
+  EXPECT_EQ(next.services[0].servers[0].state, server_state::gone);
+  EXPECT_EQ(next.services[0].servers[0].node.start.value, 1U);
+}
+
+// Guards against a restarted or failed control member that makes nodes forget
+// servers which serve.
+TEST(membership, survives_the_loss_of_control_members) {
+  for (const std::string how : {"restarts", "fails", "restarts cut off"}) {
+    section("given a member that " + how, [&] {
+      auto x = settled("abc");
+      auto least = std::size_t{3};
+      x->each_step = [&] {
+        for (const auto* node : {"a1", "b1", "c1"}) {
+          least = std::min(least, x->seen(node).size());
+        }
+      };
+      if (how == "restarts cut off") x->cut = {'a'};
+      x->stop_member("a0");
+      x->run(how == "fails" ? 20'000 : 500);
+      if (how != "fails") x->start_member("a0");
+      x->run(20'000);
+      x->cut.clear();
+      x->run(20'000);
+      section("no node misses a server at any moment", [&] {
+        EXPECT_EQ(least, 3U);
+        EXPECT_EQ(x->seen("a1"), all_three);
+      });
+      section("and a server that stops then is still dropped", [&] {
+        x->each_step = nullptr;
+        x->stop_node("b1");
+        x->run(20'000);
+        EXPECT_EQ(x->seen("a1"), (std::set<std::string>{"a1/1", "c1/1"}));
+      });
+    });
+  }
+}
+
+// Guards against servers that vanish or flap in a partition, and against views
+// that differ after it.
+TEST(membership, merges_views_after_a_partition) {
+  auto x = settled("abc");
+  auto changes = 0;
+  auto last = x->seen("c1");
+  x->each_step = [&] {
+    if (x->seen("c1") != last) ++changes;
+    last = x->seen("c1");
+  };
+  x->cut = {'a'};
+  x->run(60'000);
+  EXPECT_EQ(changes, 0);
+  section("each side still sees its own changes and marks the other's", [&] {
+    x->start_node("b1", 2);
+    x->stop_node("a1");
+    x->start_node("a2");
+    x->seen("a2");
+    x->run(6000);
+    EXPECT_EQ(last, (std::set<std::string>{"a1/1", "b1/2", "c1/1"}));
+    for (const auto& y : x->nodes.at("c1").servers(service, {x->now})) {
+      EXPECT_EQ(y.confirmed, y.server.domain.value != "a");
+    }
+    EXPECT_FALSE(x->nodes.at("c1").isolated({x->now}));
+  });
+  section("healed, each change arrives once", [&] {
+    changes = 0;
+    x->cut.clear();
+    x->run(20'000);
+    const auto merged = std::set<std::string>{"a2/1", "b1/2", "c1/1"};
+    EXPECT_EQ(last, merged);
+    EXPECT_EQ(x->seen("a2"), merged);
+    EXPECT_LE(changes, 2);
+  });
+}
+
+// Guards against nodes that miss servers, or members that miss nodes, after a
+// whole domain has stopped and started.
+TEST(membership, takes_back_a_whole_domain_at_once) {
+  auto x = settled("abc");
+  for (int i = 2; i < 30; ++i) x->start_node("a" + std::to_string(i));
+  x->run(3000);
+  for (int i = 1; i < 30; ++i) x->stop_node("a" + std::to_string(i));
+  x->stop_member("a0");
+  x->run(60'000);
+  x->start_member("a0");
+  for (int i = 1; i < 30; ++i) x->start_node("a" + std::to_string(i), 2);
+  for (auto& [name, node] : x->nodes) node.servers(service, {x->now});
+  x->run(12'000);
+  for (const auto& [name, node] : x->nodes) {
+    const auto servers = x->seen(name);
+    EXPECT_EQ(servers.size(), 31U) << name;
+    EXPECT_EQ(servers.count("a7/2"), 1U) << name;
+  }
+}
+
+// Guards against new work for a server that drains or has disappeared.
+TEST(membership, stops_work_for_servers_that_drain_or_disappear) {
+  section("given a drain, its news stops new work within 3 s", [] {
+    auto x = settled("abc");
+    x->nodes.at("a1").announce(server_state::draining, 75, 550);
+    EXPECT_FALSE(x->nodes.at("a1").accepts_work());
+    x->run(3000);
+    EXPECT_EQ(x->seen("c1").count("a1/1"), 0U);
+    section("and it is final", [&] {
+      x->nodes.at("a1").announce(server_state::serving, 75, 550);
+      EXPECT_FALSE(x->nodes.at("a1").accepts_work());
+    });
+  });
+  section("given lost news, its own answer stops new work at once", [] {
+    auto x = settled("abc");
+    x->lost = [](auto& from, auto& to) { return from == "a1" || to == "a1"; };
+    x->nodes.at("a1").announce(server_state::draining, 75, 550);
+    x->run(1000);
+    EXPECT_EQ(x->seen("c1").count("a1/1"), 1U);
+    x->nodes.at("c1").note_answer({{"a1"}, {1}}, {x->now}, true);
+    EXPECT_EQ(x->seen("c1").count("a1/1"), 0U);
+  });
+  section("given an expired lease, only direct evidence keeps the server", [] {
+    auto x = settled("abc");
+    x->stop_node("a1");
+    x->run(3000);
+    x->nodes.at("c1").note_answer({{"a1"}, {1}}, {x->now}, false);
+    x->run(2495);
+    EXPECT_EQ(x->seen("c1").count("a1/1"), 1U);
+    EXPECT_EQ(x->seen("b1").count("a1/1"), 0U);
+    x->run(10);
+    EXPECT_EQ(x->seen("c1").count("a1/1"), 0U);
+  });
+}
+
+// Guards against a configuration that goes back when a node turns to a member
+// that is behind, and against nodes that never get the newest.
+TEST(membership, never_goes_back_to_an_older_configuration) {
+  auto x = settled("abc");
+  x->members.at("a0").set_configuration({5}, "five");
+  x->members.at("b0").set_configuration({4}, "four");
+  x->members.at("c0").set_configuration({4}, "four");
+  x->run(2500);
+  ASSERT_EQ(x->nodes.at("a1").version().value, 5U);
+  EXPECT_EQ(x->members.at("b0").lagging(10).size(), 0U);
+  x->stop_member("a0");
+  x->run(10'000);
+  EXPECT_EQ(x->nodes.at("a1").version().value, 5U);
+  ASSERT_EQ(x->configs["a1"].size(), 1U);
+  section("given the change only, it is sent to those that hold its base", [&] {
+    for (const auto* name : {"b0", "c0"}) {
+      x->members.at(name).set_configuration({5}, "five");
+      x->members.at(name).set_configuration({6}, "six, at length", {5}, "+1");
+    }
+    x->run(2000);
+    EXPECT_EQ(x->configs["a1"].back().text, "+1");
+    EXPECT_EQ(x->configs["b1"].back().text, "six, at length");
+    const auto versions = x->members.at("b0").versions();
+    EXPECT_EQ(versions.at({"b"}).at({6}), 1U);
+    EXPECT_EQ(versions.at({"a"}).at({6}), 1U);
+  });
+}
+
+// Guards against messages above 64 KiB and against lists cut in the middle.
+TEST(membership, splits_long_lists) {
+  auto x = std::make_unique<cluster>("ab");
+  auto beat = heartbeat{};
+  beat.self.service = service;
+  beat.self.domain = {"b"};
+  beat.self.state = server_state::serving;
+  x->each_step = [&] {
+    for (int i = 0; i < 2000; ++i) {
+      beat.self.node = {{"10.0.0.1:" + std::to_string(i)}, {1}};
+      ++beat.beat;
+      x->members.at("b0").on_heartbeat(beat, {x->now});
+    }
+  };
+  x->run(5);
+  x->each_step = nullptr;
+  x->start_node("a1");
+  x->run(2000);
+  auto digest = x->members.at("b0").on_digest_request({{"a0"}, 0, 0}, {0});
+  EXPECT_TRUE(digest.message.more);
+  EXPECT_LT(digest.message.servers.size(), 1000U);
+  x->nodes.at("a1").servers(service, {x->now});
+  x->run(100);
+  EXPECT_EQ(x->seen("a1").size(), 2001U);
+}
