--- a/src/adapters/cli_change.cc
+++ b/src/adapters/cli_change.cc
@@ -4,6 +4,7 @@
 #include <deque>
 #include <set>
 
+#include "adapters/call_headers.h"
 #include "adapters/cli_commands.h"
 #include "adapters/load.h"
 #include "figwind/parse.h"
@@ -34,7 +35,9 @@
                     node);
   };
   if (const auto* none = std::get_if<no_answer>(&got)) {
-    return unknown(none->reason);
+    if (none->may_have_arrived) return unknown(none->reason);
+    return fail(cx, outcome::unknown,
+                node + ": " + none->reason + "; nothing was sent");
   }
   const auto& answer = std::get<http_answer>(got);
   if (answer.status >= 500 && answer.status != 503) {
@@ -172,15 +175,22 @@
          cx.given.node.value + " (with the same --body)";
 }
 
+/// True when the body has the length and checksum that the node states.
+auto is_whole(const http_answer& answer) -> bool {
+  auto length = header_at(answer, "figwind-length");
+  auto sum = header_at(answer, "figwind-checksum");
+  return (length.empty() || length == std::to_string(answer.body.size())) &&
+         (sum.empty() || sum == to_hex(checksum(answer.body)));
+}
+
 auto print_call(const context& cx, const http_answer& answer) -> outcome {
   auto how = header_at(answer, "figwind-outcome");
   auto reason = header_at(answer, "figwind-reason");
   auto id = header_at(answer, "figwind-request-id");
   auto is_known = how == "complete" || how == "not-run" || how == "failed" ||
                   how == "unknown";
-  if (!is_known) {
-    return fail(cx, outcome::unknown,
-                "the answer is damaged, it has no outcome" + call_hint(cx));
+  if (!is_known || !is_whole(answer)) {
+    return fail(cx, outcome::unknown, "the answer is damaged" + call_hint(cx));
   }
   if (cx.given.json) {
     auto line = json{{"outcome", how},
@@ -225,6 +235,9 @@
   if (!parse_name(name)) {
     return fail(cx, outcome::usage, "\"" + name + "\" is not a class name");
   }
+  if (!is_header_text(cx.given.key)) {
+    return fail(cx, outcome::usage, "--key holds a control character");
+  }
   auto body = read_body(cx);
   if (!ok(body)) return fail(cx, errors(body));
   auto headers = std::map<std::string, std::string>{};
--- a/src/adapters/cli_commands.h
+++ b/src/adapters/cli_commands.h
@@ -51,9 +51,6 @@
 /// The list at `key`, or an empty one.
 auto list_at(const json& x, const std::string& key) -> json;
 
-/// Findings of an answer 400.
-auto findings_at(const json& x) -> findings;
-
 /// The first usable answer to GET `path` with the address that gave it.
 /// Isolated members are asked last because what they know may be old.
 struct read_answer {
@@ -67,6 +64,10 @@
 auto authorization(const context& cx)
     -> result<std::map<std::string, std::string>>;
 
+/// True when `text` can be the value of a header: no control characters, at
+/// most 256 bytes.
+auto is_header_text(const std::string& text) -> bool;
+
 /// The --servers flag for a hint.
 auto servers_flag(const context& cx) -> std::string;
 
