--- a/src/decisions/slot_split.cc
+++ b/src/decisions/slot_split.cc
@@ -30,17 +30,21 @@
 
 auto slot_split::kind_of(const call_context& call) const -> work_kind {
   const auto found = classes_.find(call.name);
-  if (found == classes_.end() || found->second.is_long) {
-    return work_kind::long_running;
-  }
+  const auto is_long =
+      found == classes_.end() ? !classes_.empty() : found->second.is_long;
+  if (is_long) return work_kind::long_running;
   // Calls with a key are not lookups: confining them would refuse important
   // work while less important lookups of callers run.
   if (call.depth > 0 && call.key.value.empty()) return work_kind::internal;
   return work_kind::caller_facing;
 }
 
-void slot_split::count_arrival(work_kind kind, time_point now) {
-  demand_[index(kind)].arrivals += 1;
+void slot_split::count_arrival(const call_context& call, work_kind kind,
+                               time_point now) {
+  // Slots are kept for callers at this server only; keyed calls of other
+  // services take their turn by importance.
+  const auto deep = call.depth > 0 && kind == work_kind::caller_facing;
+  demand_[index(deep ? work_kind::internal : kind)].arrivals += 1;
   if (now - updated_ >= demand_period) update(now);
 }
 
@@ -96,9 +100,7 @@
 auto slot_split::share(work_kind kind, int limit) const -> int {
   const auto callers = demand(work_kind::caller_facing);
   auto kept = 0.0;
-  if (kind == work_kind::internal) {
-    kept = callers + options_.internal_headroom * std::sqrt(callers);
-  }
+  if (kind == work_kind::internal) kept = callers;
   if (kind == work_kind::long_running) {
     const auto short_work = callers + demand(work_kind::internal);
     // One slot stays free even without short demand: the first short call
@@ -110,19 +112,27 @@
   return std::clamp(left, std::min(guaranteed(limit), limit), limit);
 }
 
+auto slot_split::may_borrow(work_kind kind, int free) const -> bool {
+  // Internal calls give a slot back soon, so they may use what callers leave
+  // free, less the headroom; long work may not.
+  if (kind != work_kind::internal) return false;
+  const auto callers = demand(work_kind::caller_facing);
+  return free > std::ceil(options_.internal_headroom * std::sqrt(callers));
+}
+
 auto slot_split::may_start(work_kind kind, int limit,
                            const kind_counts& running,
                            const kind_counts& waiting) const -> bool {
   auto free = limit - sum(running);
   if (free <= 0) return false;
-  if (running[index(kind)] >= share(kind, limit)) return false;
-  for (const auto other : {work_kind::internal, work_kind::long_running}) {
-    if (other == kind || waiting[index(other)] == 0) continue;
-    const auto owed = guaranteed(limit) - running[index(other)];
-    // Work that is owed its slots gets them first, but never the last one.
-    if (limit > 1) free -= std::max(owed, 0);
-  }
-  return free > 0 || running[index(kind)] == 0;
+  const auto entitled = running[index(kind)] < share(kind, limit);
+  if (!entitled && !may_borrow(kind, free)) return false;
+  const auto long_work = index(work_kind::long_running);
+  if (kind == work_kind::long_running || waiting[long_work] == 0) return true;
+  // Waiting long work gets its guaranteed slots first, but never the last one.
+  const auto owed = guaranteed(limit) - running[long_work];
+  if (limit > 1) free -= std::max(owed, 0);
+  return free > 0;
 }
 
 auto slot_split::mean_held(work_kind kind) const -> duration {
