Keep connections warm and find silent ones by probes

Cause: established connections can go silent for good while new ones work, and a new one takes 1 ms.

A call that is quiet for longer than the server's usual latency is asked about over a new connection; if its answer has left or it never arrived, the connection and idle peers of its age are replaced.

--- a/include/figwind/connection_pool.h
+++ b/include/figwind/connection_pool.h
@@ -116,6 +116,9 @@
   auto acquire(const node_id& server, const probed_call& call, time_point now)
       -> connection_number;
 
+  /// Bytes were sent or received: the connection is not quiet.
+  void progress(connection_number connection, time_point now);
+
   /// The whole answer was received, so the connection is idle again.
   auto released(connection_number connection, time_point now) -> pool_actions;
 
@@ -145,17 +148,22 @@
   struct connection {
     node_id server;
     time_point opened;
+    /// Last time that bytes moved.
     time_point heard;
-    /// Start of the attempt in use; meaningless while idle.
     time_point acquired;
     time_point next_probe;
+    /// Set once the server node says that the answer has left.
+    time_point answer_due;
     probed_call call;
     bool used = false;
+    bool asked = false;
+    bool answer_left = false;
+    /// A peer of the same age was silent.
+    bool suspect = false;
   };
   struct pool {
     int limit = 1;
     int opening = 0;
-    int used = 0;
     /// Attempts that found no idle connection since the last tick.
     int missed = 0;
     double peak = 0;
@@ -170,13 +178,16 @@
   };
 
   void drop(connection_number number);
-  auto wanted(pool& p, time_point now) const -> int;
+  auto wanted(const pool& p) const -> int;
+  void track_use(pool& p, time_point now);
   void adjust(const node_id& server, pool& p, time_point now,
               pool_actions& out);
   void probe_quiet(const node_id& server, pool& p, time_point now,
                    pool_actions& out);
-  void replace(const node_id& server, pool& p, connection_number silent,
-               time_point now, pool_actions& out);
+  void replace_overdue(pool& p, time_point now, pool_actions& out);
+  void replace(pool& p, connection_number silent, time_point now,
+               pool_actions& out);
+  auto quiet_limit(const pool& p) const -> duration;
 
   connection_pool_settings settings_;
   connection_number next_ = 1;
--- /dev/null
+++ b/src/decisions/connection_pool.cc
@@ -0,0 +1,316 @@
+#include "figwind/connection_pool.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace figwind {
+
+namespace {
+
+/// Calls that one probe asks about at most.
+constexpr auto calls_per_probe = std::size_t{64};
+/// Time until the next try after a connection could not be opened.
+constexpr auto open_retry = milliseconds(100);
+
+auto close_of(const node_id& server, connection_number number) -> pool_action {
+  auto out = pool_action{};
+  out.kind = pool_action_kind::close;
+  out.server = server;
+  out.connection = number;
+  return out;
+}
+
+}  // namespace
+
+connection_pool::connection_pool(connection_pool_settings settings)
+    : settings_{settings} {}
+
+void connection_pool::set_server(const node_id& server, int connections,
+                                 int entry_nodes) {
+  auto& p = pools_[server];
+  // One of the share stays free, since a probe needs a connection of its own.
+  p.limit = std::max(connections / std::max(entry_nodes, 1) - 1, 1);
+  p.removed = false;
+}
+
+auto connection_pool::remove_server(const node_id& server) -> pool_actions {
+  auto out = pool_actions{};
+  const auto found = pools_.find(server);
+  if (found == pools_.end()) return out;
+  auto& p = found->second;
+  p.removed = true;
+  for (const auto number : std::vector(p.idle)) {
+    out.push_back(close_of(server, number));
+    drop(number);
+  }
+  if (p.busy.empty()) pools_.erase(found);
+  return out;
+}
+
+auto connection_pool::opened(const node_id& server, time_point now)
+    -> connection_number {
+  const auto found = pools_.find(server);
+  if (found == pools_.end()) return 0;
+  auto& p = found->second;
+  if (p.opening > 0) --p.opening;
+  const auto number = next_++;
+  auto& c = connections_[number];
+  c.server = server;
+  c.opened = now;
+  c.heard = now;
+  p.idle.push_back(number);
+  return number;
+}
+
+void connection_pool::open_failed(const node_id& server, time_point now) {
+  const auto found = pools_.find(server);
+  if (found == pools_.end()) return;
+  auto& p = found->second;
+  if (p.opening > 0) --p.opening;
+  p.retry_open = now + open_retry;
+}
+
+auto connection_pool::acquire(const node_id& server, const probed_call& call,
+                              time_point now) -> connection_number {
+  const auto found = pools_.find(server);
+  if (found == pools_.end() || found->second.removed) return 0;
+  auto& p = found->second;
+  if (p.idle.empty()) {
+    ++p.missed;
+    return 0;
+  }
+  // The one heard of last is the least likely to be silent.
+  const auto number = p.idle.back();
+  p.idle.pop_back();
+  p.busy.push_back(number);
+  auto& c = connections_[number];
+  c.used = true;
+  c.asked = false;
+  c.answer_left = false;
+  c.call = call;
+  c.acquired = now;
+  c.heard = now;
+  c.next_probe = now;
+  track_use(p, now);
+  return number;
+}
+
+void connection_pool::progress(connection_number connection, time_point now) {
+  const auto found = connections_.find(connection);
+  if (found == connections_.end()) return;
+  found->second.heard = now;
+  found->second.answer_left = false;
+}
+
+auto connection_pool::released(connection_number connection, time_point now)
+    -> pool_actions {
+  const auto found = connections_.find(connection);
+  if (found == connections_.end() || !found->second.used) return {};
+  auto& c = found->second;
+  auto& p = pools_[c.server];
+  const auto taken = (now - c.acquired).ms;
+  // The weights of the round-trip estimate of TCP (RFC 6298).
+  if (p.usual_ms == 0) {
+    p.usual_ms = taken;
+    p.spread_ms = taken / 2;
+  } else {
+    p.spread_ms += (std::abs(taken - p.usual_ms) - p.spread_ms) / 16;
+    p.usual_ms += (taken - p.usual_ms) / 16;
+  }
+  c.used = false;
+  c.asked = false;
+  c.heard = now;
+  std::erase(p.busy, connection);
+  p.idle.push_back(connection);
+  if (!p.removed) return {};
+  const auto server = c.server;
+  drop(connection);
+  return {close_of(server, connection)};
+}
+
+void connection_pool::broken(connection_number connection) {
+  drop(connection);
+}
+
+void connection_pool::drop(connection_number number) {
+  const auto found = connections_.find(number);
+  if (found == connections_.end()) return;
+  const auto at = pools_.find(found->second.server);
+  connections_.erase(found);
+  if (at == pools_.end()) return;
+  auto& p = at->second;
+  std::erase(p.idle, number);
+  std::erase(p.busy, number);
+}
+
+void connection_pool::track_use(pool& p, time_point now) {
+  const auto use = static_cast<double>(p.busy.size()) + p.missed;
+  const auto kept = std::exp(-((now - p.peak_at) / settings_.memory));
+  p.peak = std::max(use, use + (p.peak - use) * kept);
+  p.peak_at = now;
+}
+
+auto connection_pool::wanted(const pool& p) const -> int {
+  // A quarter covers the growth of a 4x swing in 2 s until the next tick.
+  constexpr auto headroom = 1.25;
+  const auto count = static_cast<int>(std::ceil(p.peak * headroom)) + 1;
+  return std::min(count, p.limit);
+}
+
+auto connection_pool::quiet_limit(const pool& p) const -> duration {
+  if (p.usual_ms == 0) return {};
+  const auto usual = p.usual_ms + 4 * p.spread_ms;
+  return {std::max(usual, settings_.probe_time.ms)};
+}
+
+auto connection_pool::tick(time_point now) -> pool_actions {
+  auto out = pool_actions{};
+  for (auto at = pools_.begin(); at != pools_.end();) {
+    auto& [server, p] = *at;
+    track_use(p, now);
+    replace_overdue(p, now, out);
+    probe_quiet(server, p, now, out);
+    if (p.removed && p.busy.empty()) {
+      at = pools_.erase(at);
+      continue;
+    }
+    adjust(server, p, now, out);
+    p.missed = 0;
+    ++at;
+  }
+  return out;
+}
+
+void connection_pool::adjust(const node_id& server, pool& p, time_point now,
+                             pool_actions& out) {
+  if (p.removed) return;
+  const auto open = p.idle.size() + p.busy.size();
+  auto missing = wanted(p) - static_cast<int>(open) - p.opening;
+  for (; missing > 0 && now >= p.retry_open; --missing) {
+    ++p.opening;
+    auto action = pool_action{};
+    action.server = server;
+    out.push_back(std::move(action));
+  }
+  for (; missing < 0 && !p.idle.empty(); ++missing) {
+    const auto least_used = p.idle.front();
+    out.push_back(close_of(server, least_used));
+    drop(least_used);
+  }
+}
+
+void connection_pool::probe_quiet(const node_id& server, pool& p,
+                                  time_point now, pool_actions& out) {
+  const auto limit = quiet_limit(p);
+  if (p.probing || limit.ms == 0) return;
+  auto action = pool_action{};
+  action.kind = pool_action_kind::probe;
+  action.server = server;
+  for (const auto number : p.busy) {
+    auto& c = connections_[number];
+    const auto quiet_from = c.suspect ? settings_.probe_time : limit;
+    if (now - c.heard < quiet_from || now < c.next_probe) continue;
+    if (c.answer_left) continue;
+    if (action.calls.size() == calls_per_probe) break;
+    c.asked = true;
+    c.suspect = false;
+    action.calls.push_back(c.call);
+    action.connections.push_back(number);
+  }
+  if (action.calls.empty()) return;
+  p.probing = true;
+  out.push_back(std::move(action));
+}
+
+auto connection_pool::probed(const node_id& server,
+                             const std::vector<connection_number>& connections,
+                             const probe_reply& reply, time_point now)
+    -> pool_actions {
+  auto out = pool_actions{};
+  const auto found = pools_.find(server);
+  if (found == pools_.end()) return out;
+  auto& p = found->second;
+  p.probing = false;
+  const auto count = std::min(connections.size(), reply.calls.size());
+  for (auto i = std::size_t{0}; i < count; ++i) {
+    const auto at = connections_.find(connections[i]);
+    // The call may have ended meanwhile and the connection serve another.
+    if (at == connections_.end() || !at->second.asked) continue;
+    auto& c = at->second;
+    c.asked = false;
+    if (reply.calls[i] == call_presence::never_arrived) {
+      replace(p, connections[i], now, out);
+    } else if (reply.calls[i] == call_presence::answered) {
+      // The answer may be on its way still.
+      c.answer_left = true;
+      c.answer_due = now + settings_.probe_time;
+    } else {
+      c.next_probe = now + (now - c.acquired);
+    }
+  }
+  return out;
+}
+
+void connection_pool::probe_failed(const node_id& server, time_point now) {
+  const auto found = pools_.find(server);
+  if (found == pools_.end()) return;
+  auto& p = found->second;
+  p.probing = false;
+  for (const auto number : p.busy) {
+    auto& c = connections_[number];
+    if (c.asked) c.next_probe = now + quiet_limit(p);
+    c.asked = false;
+  }
+}
+
+void connection_pool::replace_overdue(pool& p, time_point now,
+                                      pool_actions& out) {
+  for (const auto number : std::vector(p.busy)) {
+    const auto found = connections_.find(number);
+    if (found == connections_.end()) continue;
+    const auto& c = found->second;
+    if (c.answer_left && now >= c.answer_due) replace(p, number, now, out);
+  }
+}
+
+void connection_pool::replace(pool& p, connection_number silent, time_point now,
+                              pool_actions& out) {
+  const auto c = connections_[silent];
+  out.push_back(close_of(c.server, silent));
+  drop(silent);
+  const auto same_age = [&](const connection& peer) {
+    return std::abs((peer.opened - c.opened).ms) <= settings_.same_age.ms;
+  };
+  for (const auto number : std::vector(p.idle)) {
+    if (!same_age(connections_[number])) continue;
+    out.push_back(close_of(c.server, number));
+    drop(number);
+  }
+  for (const auto number : p.busy) {
+    auto& peer = connections_[number];
+    if (!same_age(peer)) continue;
+    peer.suspect = true;
+    peer.next_probe = now;
+  }
+  adjust(c.server, p, now, out);
+}
+
+auto connection_pool::open_count(const node_id& server) const -> int {
+  const auto found = pools_.find(server);
+  if (found == pools_.end()) return 0;
+  const auto& p = found->second;
+  return static_cast<int>(p.idle.size() + p.busy.size()) + p.opening;
+}
+
+auto connection_pool::used_count(const node_id& server) const -> int {
+  const auto found = pools_.find(server);
+  if (found == pools_.end()) return 0;
+  return static_cast<int>(found->second.busy.size());
+}
+
+auto connection_pool::quiet_limit(const node_id& server) const -> duration {
+  const auto found = pools_.find(server);
+  return found == pools_.end() ? duration{} : quiet_limit(found->second);
+}
+
+}  // namespace figwind
--- /dev/null
+++ b/test/connection_pool-test.cc
@@ -0,0 +1,139 @@
+#include "figwind/connection_pool.h"
+
+#include <gtest/gtest.h>
+
+#include "connection_fake.h"
+#include "section.h"
+
+using namespace figwind;
+using figwind::test::connection_run;
+using figwind::test::connection_shape;
+using figwind::test::section;
+
+namespace {
+
+const auto server = node_id{{"10.0.0.1:7201"}, {1}};
+
+auto count(const pool_actions& actions, pool_action_kind kind) -> long {
+  return std::count_if(actions.begin(), actions.end(),
+                       [&](const pool_action& a) { return a.kind == kind; });
+}
+
+/// A pool with `size` connections opened at once, each used for 10 ms.
+struct warm_pool {
+  explicit warm_pool(int size) {
+    pool.set_server(server, 41, 4);
+    for (auto i = 0; i < size; ++i) pool.opened(server, now);
+    for (auto round = 0; round < 20; ++round) use(size);
+  }
+
+  void use(int size) {
+    auto used = std::vector<connection_number>{};
+    for (auto i = 0; i < size; ++i) used.push_back(acquire());
+    now = now + milliseconds(10);
+    for (const auto c : used) pool.released(c, now);
+  }
+
+  auto acquire() -> connection_number {
+    return pool.acquire(server, {{0, ++id}, 1}, now);
+  }
+
+  connection_pool pool;
+  time_point now;
+  std::uint64_t id = 0;
+};
+
+}  // namespace
+
+// Guards against calls that wait for a connection, and against more
+// connections than the server accepts from all entry nodes together.
+TEST(connection_pool, opens_ahead_of_demand_within_its_share) {
+  auto pool = connection_pool{};
+  auto now = time_point{0};
+  pool.set_server(server, 41, 4);
+  section("given no demand, one is opened", [&] {
+    EXPECT_EQ(count(pool.tick(now), pool_action_kind::open), 1);
+    EXPECT_EQ(count(pool.tick(now), pool_action_kind::open), 0);
+    pool.opened(server, now);
+  });
+  section("given one call, a spare one is opened", [&] {
+    EXPECT_NE(pool.acquire(server, {}, now), 0U);
+    EXPECT_EQ(count(pool.tick(now), pool_action_kind::open), 2);
+  });
+  section("given 100 calls, the share of 41 / 4 less one is kept", [&] {
+    for (auto i = 0; i < 100; ++i) pool.acquire(server, {}, now);
+    pool.tick(now);
+    EXPECT_EQ(pool.open_count(server), 9);
+  });
+}
+
+// Guards against silent connections that are only found by the time-out of
+// each call, and against closing a connection whose call still runs.
+TEST(connection_pool, replaces_a_silent_connection_and_its_peers) {
+  auto w = warm_pool{4};
+  w.pool.tick(w.now);
+  const auto silent = w.acquire();
+  auto asked = pool_action{};
+  section("given a call that is quiet for longer than is usual", [&] {
+    w.now = w.now + milliseconds(9);
+    EXPECT_EQ(count(w.pool.tick(w.now), pool_action_kind::probe), 0);
+    w.now = w.now + milliseconds(15);
+    for (const auto& a : w.pool.tick(w.now)) {
+      if (a.kind == pool_action_kind::probe) asked = a;
+    }
+    EXPECT_EQ(asked.connections, std::vector{silent});
+  });
+  section("a call that runs leaves it open", [&] {
+    const auto reply = probe_reply{{call_presence::waiting}};
+    EXPECT_TRUE(w.pool.probed(server, asked.connections, reply, w.now).empty());
+    EXPECT_EQ(w.pool.used_count(server), 1);
+  });
+  section("a call that never arrived replaces it and 3 idle peers", [&] {
+    w.now = w.now + milliseconds(30);
+    EXPECT_EQ(count(w.pool.tick(w.now), pool_action_kind::probe), 1);
+    const auto reply = probe_reply{{call_presence::never_arrived}};
+    const auto actions = w.pool.probed(server, asked.connections, reply, w.now);
+    EXPECT_GE(count(actions, pool_action_kind::close), 4);
+    EXPECT_GE(count(actions, pool_action_kind::open), 4);
+  });
+}
+
+// Guards against a sound connection closed because its probe took longer than
+// its call.
+TEST(connection_pool, ignores_the_probe_of_a_call_that_has_ended) {
+  auto w = warm_pool{2};
+  const auto connection = w.acquire();
+  w.now = w.now + milliseconds(30);
+  EXPECT_EQ(count(w.pool.tick(w.now), pool_action_kind::probe), 1);
+  w.pool.released(connection, w.now);
+  EXPECT_EQ(w.acquire(), connection);
+  const auto late = probe_reply{{call_presence::answered}};
+  w.pool.probed(server, {connection}, late, w.now);
+  w.now = w.now + milliseconds(8);
+  EXPECT_EQ(count(w.pool.tick(w.now), pool_action_kind::close), 0);
+}
+
+// Guards against a stop that interrupts calls in flight.
+TEST(connection_pool, lets_calls_end_on_a_removed_server) {
+  auto w = warm_pool{3};
+  const auto used = w.acquire();
+  EXPECT_EQ(count(w.pool.remove_server(server), pool_action_kind::close), 2);
+  EXPECT_EQ(w.acquire(), 0U);
+  EXPECT_EQ(count(w.pool.released(used, w.now), pool_action_kind::close), 1);
+  EXPECT_TRUE(w.pool.tick(w.now).empty());
+}
+
+// Guards against sound connections broken with a call on them, and against a
+// silent one that stays.
+TEST(connection_pool, finds_all_silent_connections_and_only_those) {
+  for (const auto each : {1, 2, 5}) {
+    auto shape = connection_shape{};
+    shape.silent_each = each;
+    shape.total_ms = 20'000;
+    const auto result = connection_run{shape, 9}.run();
+    EXPECT_EQ(result.sound_broken, 0);
+    EXPECT_GT(result.last_found_ms, 0);
+    EXPECT_LT(result.first_found_ms, 250);
+    EXPECT_LE(result.most_open, 33);
+  }
+}
