Replace idle connections that were quiet since the silent one's call

Cause: an event that silences connections of several ages left the older ones to be found one by one.

Change: idle peers not heard of since the silent call began are replaced too.

--- a/src/decisions/connection_pool.cc
+++ b/src/decisions/connection_pool.cc
@@ -282,7 +282,8 @@
     return std::abs((peer.opened - c.opened).ms) <= settings_.same_age.ms;
   };
   for (const auto number : std::vector(p.idle)) {
-    if (!same_age(connections_[number])) continue;
+    const auto& peer = connections_[number];
+    if (!same_age(peer) && peer.heard > c.acquired) continue;
     out.push_back(close_of(c.server, number));
     drop(number);
   }
--- a/test/connection_fake.h
+++ b/test/connection_fake.h
@@ -39,6 +39,8 @@
   int probes = 0;
   int waited = 0;
   int most_open = 0;
+  /// Silent connections that are still open at the end.
+  int silent_left = 0;
   double first_found_ms = 0;
   double last_found_ms = 0;
 };
@@ -67,6 +69,9 @@
       carry_out(pool_.tick({now_}));
       out_.most_open = std::max(out_.most_open, pool_.open_count(server_));
     }
+    for (const auto& [number, silent] : silent_) {
+      out_.silent_left += silent ? 1 : 0;
+    }
     return out_;
   }
 
@@ -169,6 +174,7 @@
     const auto on_call = calls_.erase(number) > 0;
     out_.lost += on_call ? 1 : 0;
     out_.sound_broken += on_call && !silent_[number] ? 1 : 0;
+    silent_.erase(number);
   }
 
   void carry_out(const pool_actions& actions) {
--- a/test/connection_pool-test.cc
+++ b/test/connection_pool-test.cc
@@ -132,6 +132,7 @@
     shape.total_ms = 20'000;
     const auto result = connection_run{shape, 9}.run();
     EXPECT_EQ(result.sound_broken, 0);
+    EXPECT_EQ(result.silent_left, 0);
     EXPECT_GT(result.last_found_ms, 0);
     EXPECT_LT(result.first_found_ms, 250);
     EXPECT_LE(result.most_open, 33);
