--- a/include/figwind/connection_pool.h
+++ b/include/figwind/connection_pool.h
@@ -4,7 +4,6 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <unordered_map>
 #include <vector>
 
@@ -191,7 +190,7 @@
 
   connection_pool_settings settings_;
   connection_number next_ = 1;
-  std::map<node_id, pool> pools_;
+  std::unordered_map<node_id, pool> pools_;
   std::unordered_map<connection_number, connection> connections_;
 };
 
