Measure uploads, a busy domain and overload beside stragglers

Cause: the straggler figures had one class and even demand.

Change: calls 100x as long, demand of one domain 4x, demand 3.2x and 4x capacity in the benchmark of the balancer; an unused mean goes.

--- a/bench/balancer-bench.cc
+++ b/bench/balancer-bench.cc
@@ -49,6 +49,40 @@
   print({start + ".hedged.refused", "calls", hedged.refused, {}, {}});
 }
 
+/// Demand of one domain above its own servers, and of all above all servers.
+void print_spill(const deployment& where) {
+  auto shape = load_shape{};
+  shape.hedging = true;
+  const auto start = "balancer." + where.name + ".";
+  const auto share = [](int part, int of) { return 1.0 * part / of; };
+  shape.calls_per_node = 150;
+  shape.skew = 4;
+  const auto spilled = load_run{where, shape, 17}.run();
+  shape.local_only = true;
+  const auto local = load_run{where, shape, 17}.run();
+  print({start + "one_domain_busy.refused",
+         "fraction",
+         share(spilled.refused, spilled.calls),
+         share(local.refused, local.calls),
+         {}});
+  shape = load_shape{};
+  shape.hedging = true;
+  shape.calls_per_node *= 4;
+  shape.total_ms = 10'000;
+  const auto over = load_run{where, shape, 17}.run();
+  const auto capacity = where.servers * where.slots / shape.service_ms;
+  print({start + "overload.attempts",
+         "attempts/call",
+         share(over.attempts, over.calls),
+         4.0,
+         {}});
+  print({start + "overload.goodput",
+         "of capacity",
+         over.answered / (shape.total_ms * capacity),
+         {},
+         {}});
+}
+
 auto many(int count) -> std::vector<server> {
   auto out = std::vector<server>{};
   for (auto i = 0; i < count; ++i) {
@@ -128,6 +162,10 @@
     auto nearby = even;
     nearby.service_ms = 5;
     print_straggler(where, nearby, "even_5ms");
+    auto mixed = shape;
+    mixed.long_share = 0.002;
+    print_straggler(where, mixed, "exponential_40ms_and_scans");
+    print_spill(where);
   }
   for (const auto count : {6, 100, 1000}) print_cost(count);
   print_moves();
--- a/bench/server_fake.h
+++ b/bench/server_fake.h
@@ -39,12 +39,21 @@
   double slow_ms = 0;
   double period_ms = 2500;
   double total_ms = 30'000;
+  /// Share of calls of another class that take 100 times as long.
+  double long_share = 0;
+  /// Nodes of the first domain get this many times the calls.
+  double skew = 1;
+  /// Servers of other domains are not used.
+  bool local_only = false;
   bool round_robin = false;
   bool hedging = false;
 };
 
 struct load_figures {
+  /// Of the short calls.
   std::vector<double> latencies;
+  int calls = 0;
+  int answered = 0;
   int attempts = 0;
   int refused = 0;
   int remote = 0;
@@ -77,7 +86,11 @@
     }
     servers_.resize(infos_.size());
     for (auto i = 0; i < where_.entry_nodes; ++i) {
-      nodes_.push_back(node{balancer{{{"n" + std::to_string(i)}, domain(i)}}});
+      auto settings = balancer_settings{};
+      settings.self = {"n" + std::to_string(i)};
+      settings.domain = domain(i);
+      if (shape.local_only) settings.remote_subset = 0;
+      nodes_.push_back(node{balancer{settings}});
       nodes_.back().routes.set_servers(service_, infos_);
       next_arrival(i);
     }
@@ -111,6 +124,7 @@
   struct request {
     int node = 0;
     double start = 0;
+    bool is_long = false;
     bool done = false;
     int allowance = chain_retry_bound;
     std::vector<node_id> tried{};
@@ -141,8 +155,9 @@
   auto now() const -> time_point { return {now_}; }
 
   void next_arrival(int n) {
-    const auto gap =
-        -std::log(1 - random_.unit()) * 1000 / shape_.calls_per_node;
+    const auto busy = n % where_.domains == 0 ? shape_.skew : 1.0;
+    const auto rate = shape_.calls_per_node * busy;
+    const auto gap = -std::log(1 - random_.unit()) * 1000 / rate;
     if (now_ + gap > shape_.total_ms) return;
     at(now_ + gap, [this, n] {
       next_arrival(n);
@@ -151,7 +166,10 @@
   }
 
   void arrive(int n) {
-    requests_.push_back({n, now_});
+    const auto is_long =
+        shape_.long_share > 0 && random_.chance(shape_.long_share);
+    requests_.push_back({n, now_, is_long});
+    ++figures_.calls;
     nodes_[static_cast<std::size_t>(n)].share.first_attempt();
     send(requests_.size() - 1, true);
   }
@@ -163,8 +181,9 @@
   auto pick(std::size_t r, bool first) -> choice {
     auto& n = node_of(r);
     if (!shape_.round_robin) {
+      const auto may_probe = first && !requests_[r].is_long;
       return n.routes.choose(service_, requests_[r].tried, now(), random_,
-                             first);
+                             may_probe);
     }
     return {&infos_[n.turn++ % infos_.size()]};
   }
@@ -181,7 +200,8 @@
     a.sent = now_;
     a.delay = chosen.target->domain == domain(q.node) ? 0.05 : 4.5;
     if (!shape_.round_robin) {
-      a.ticket = n.routes.started(service_, chosen, {"lookup"}, now());
+      const auto kind = class_name{q.is_long ? "scan" : "lookup"};
+      a.ticket = n.routes.started(service_, chosen, kind, now());
     }
     attempts_.push_back(a);
     q.tried.push_back(chosen.target->id);
@@ -190,7 +210,7 @@
     figures_.remote += a.delay > 1 ? 1 : 0;
     at(now_ + a.delay, [this, number] { reach(number); });
     const auto wait = chosen.probe ? 0.0 : n.timer.delay().ms;
-    if (first && shape_.hedging && (chosen.probe || wait > 0)) {
+    if (first && !q.is_long && shape_.hedging && (chosen.probe || wait > 0)) {
       at(now_ + wait, [this, r] { hedge(r); });
     }
   }
@@ -291,7 +311,8 @@
     auto& q = requests_[attempts_[a].request];
     node_of(attempts_[a].request).share.ended(false);
     q.done = true;
-    figures_.latencies.push_back(now_ - q.start);
+    ++figures_.answered;
+    if (!q.is_long) figures_.latencies.push_back(now_ - q.start);
     for (const auto other : q.attempts) {
       if (!attempts_[other].over) cancel(other);
     }
@@ -302,7 +323,8 @@
     if (shape_.round_robin) return;
     auto& n = node_of(attempts_[a].request);
     n.routes.finished(attempts_[a].ticket, end, now());
-    if (end == attempt_end::answered) {
+    const auto is_long = requests_[attempts_[a].request].is_long;
+    if (end == attempt_end::answered && !is_long) {
       n.timer.observe({now_ - attempts_[a].sent});
     }
   }
--- a/src/decisions/balancer.cc
+++ b/src/decisions/balancer.cc
@@ -100,7 +100,6 @@
   std::vector<observed_ptr> local;
   std::vector<observed_ptr> remote;
   std::map<class_name, usual> kinds;
-  usual all;
 
   template <class Visit>
   void each(Visit&& visit) const {
@@ -382,7 +381,6 @@
     s.completions += r.rate > 0 ? 1 : 0;
     s.backoff = shortest_backoff;
     r.kind->add(latency);
-    r.service->all.add(latency);
   }
   // A quick error must not make a server look fast.
   if (end == attempt_end::failed && r.rate > 0) {
