Spill over before a busy server refuses

Cause: a server is shared by entry nodes that do not see each other, so it refused before an entry node's own calls filled its slots, and the retry share of a busy node then ran out.

Change: an overload answer lowers the limit of own calls in flight on that server to 90% of where it refused; answers raise it by one a round.

--- a/src/decisions/balancer.cc
+++ b/src/decisions/balancer.cc
@@ -29,6 +29,7 @@
 constexpr auto last_probe_gap = milliseconds(1600);
 constexpr auto shortest_backoff = milliseconds(2);
 constexpr auto longest_backoff = milliseconds(50);
+constexpr auto unlimited = 1e9;
 
 /// Mean latency of one class, robust against single long ones.
 struct usual {
@@ -63,6 +64,9 @@
   time_point next_probe;
   time_point backoff_until;
   duration backoff = shortest_backoff;
+  /// Own calls in flight at which the server refused of late; other entry
+  /// nodes use the rest of its slots.
+  double own_limit = unlimited;
 
   void advance(time_point now) {
     const auto passed = now - last;
@@ -84,7 +88,17 @@
   }
 
   auto full(time_point now) const -> bool {
-    return in_flight >= info.slots || now < backoff_until;
+    const auto limit = std::min<double>(own_limit, info.slots);
+    return in_flight >= limit || now < backoff_until;
+  }
+
+  void lower_limit() {
+    const auto refused_at = std::min<double>(own_limit, in_flight + 1);
+    own_limit = std::max(refused_at * 0.9, 1.0);
+  }
+
+  void raise_limit() {
+    if (own_limit < info.slots) own_limit += 1 / own_limit;
   }
 
   auto load() const -> double {
@@ -380,6 +394,7 @@
   if (end == attempt_end::answered) {
     s.completions += r.rate > 0 ? 1 : 0;
     s.backoff = shortest_backoff;
+    s.raise_limit();
     r.kind->add(latency);
   }
   // A quick error must not make a server look fast.
@@ -398,6 +413,7 @@
   auto& s = *r.target;
   if (reason == refusal::draining) s.draining = true;
   if (reason != refusal::overload) return;
+  s.lower_limit();
   s.backoff_until = now + s.backoff;
   s.backoff = std::min(s.backoff * 2, longest_backoff);
 }
--- a/test/balancer-test.cc
+++ b/test/balancer-test.cc
@@ -92,6 +92,14 @@
       e.now = e.now + milliseconds(60);
       EXPECT_FALSE(e.choose().remote);
     });
+    section("the local server then gets fewer than it refused at", [&] {
+      auto locals = 0;
+      while (!e.choose().remote) {
+        e.start();
+        ++locals;
+      }
+      EXPECT_LT(locals, 4);
+    });
     section("a call that tried both is refused for overload", [&] {
       const auto tried = std::vector{e.servers[0].id, e.servers[1].id};
       const auto none = e.routes.choose(service, tried, e.now, e.random);
@@ -158,6 +166,22 @@
   });
 }
 
+// Guards against uploads that make the server which runs them look slow.
+TEST(balancer, judges_each_class_by_its_own_latency) {
+  auto e = entry{local(2)};
+  const auto scan = class_name{"scan"};
+  const auto first = e.routes.started(service, e.choose(), scan, e.now);
+  e.now = e.now + seconds(1);
+  e.routes.finished(first, attempt_end::answered, e.now);
+  e.call(100);
+  for (auto i = 0; i < 3; ++i) {
+    e.routes.started(service, e.choose(), scan, e.now);
+  }
+  e.now = e.now + milliseconds(800);
+  e.call(50);
+  EXPECT_TRUE(e.routes.set_aside(service).empty());
+}
+
 // Guards against a server that a single slow call keeps out of use for ever.
 TEST(balancer, forgets_a_slow_call_in_time) {
   auto e = entry{local(2)};
