Run the baseline of 3 retries a hop instead of computing it

Cause: the figure for 4^16 calls was a product, not a measurement. The fakes that give figures now lie beside the benchmarks.

--- a/test/call_chain.h
+++ b/bench/call_chain.h
@@ -8,7 +8,7 @@
 #include "figwind/random.h"
 #include "figwind/retry.h"
 
-namespace figwind::test {
+namespace figwind::bench {
 
 struct chain_shape {
   int depth = 16;
@@ -21,6 +21,8 @@
   bool lose_first = false;
   /// Hop whose answers never arrive, as across a partition; -1 for none.
   int cut_off = -1;
+  /// The baseline: each hop retries this often without an allowance.
+  int retries_per_hop = -1;
   hand_down policy = default_hand_down;
   hand_down split = default_split;
 };
@@ -52,14 +54,16 @@
 
   auto call(int hop, call_allowance& allowance) -> bool {
     auto handed = allowance.start_first();
-    while (true) {
+    for (auto retries = 0;; ++retries) {
       ++calls_[static_cast<std::size_t>(hop)];
       const auto result = backend(hop, handed);
       if (!lose(hop)) {
         allowance.answered(handed, result.returned);
         if (result.ok) return true;
       }
-      handed = allowance.start_extra();
+      const auto unbounded = shape_.retries_per_hop >= 0;
+      if (unbounded && retries == shape_.retries_per_hop) return false;
+      if (!unbounded) handed = allowance.start_extra();
       if (handed < 0) return false;
       ++extra_;
     }
@@ -100,4 +104,4 @@
   int extra_ = 0;
 };
 
-}  // namespace figwind::test
+}  // namespace figwind::bench
--- a/bench/connection-bench.cc
+++ b/bench/connection-bench.cc
@@ -1,13 +1,11 @@
 // Time to find connections that have gone silent, against waiting for the
 // time-out of each call, and calls that wait for a connection.
 
-#include "../test/connection_fake.h"
+#include "connection_fake.h"
 #include "figure.h"
 
 using namespace figwind;
 using namespace figwind::bench;
-using test::connection_run;
-using test::connection_shape;
 
 namespace {
 
--- a/test/connection_fake.h
+++ b/bench/connection_fake.h
@@ -11,7 +11,7 @@
 #include "figwind/connection_pool.h"
 #include "figwind/random.h"
 
-namespace figwind::test {
+namespace figwind::bench {
 
 struct connection_shape {
   int connections = 550;
@@ -206,4 +206,4 @@
   connection_figures out_;
 };
 
-}  // namespace figwind::test
+}  // namespace figwind::bench
--- a/bench/crash-bench.cc
+++ b/bench/crash-bench.cc
@@ -1,6 +1,6 @@
 // Requests that crash each server which runs them, among innocent ones.
 
-#include "../test/crash_fake.h"
+#include "crash_fake.h"
 #include "figure.h"
 
 using namespace figwind;
@@ -9,7 +9,7 @@
 namespace {
 
 /// Means over 50 seeds.
-void print_crashes(const std::string& name, test::crash_shape shape) {
+void print_crashes(const std::string& name, crash_shape shape) {
   constexpr auto seeds = 50;
   struct {
     int crashes, refused, early;
@@ -18,8 +18,7 @@
   for (auto seed = 1; seed <= seeds; ++seed) {
     for (const auto is_guarded : {true, false}) {
       shape.guarded = is_guarded;
-      const auto run =
-          test::run_crashes(shape, static_cast<std::uint64_t>(seed));
+      const auto run = run_crashes(shape, static_cast<std::uint64_t>(seed));
       auto& sum = is_guarded ? guarded : open;
       sum.crashes += run.crashes;
       sum.refused += run.innocents_refused;
--- a/test/crash_fake.h
+++ b/bench/crash_fake.h
@@ -9,7 +9,7 @@
 #include "figwind/crash_guard.h"
 #include "figwind/random.h"
 
-namespace figwind::test {
+namespace figwind::bench {
 
 struct crash_shape {
   int servers = 4;
@@ -128,4 +128,4 @@
   return out;
 }
 
-}  // namespace figwind::test
+}  // namespace figwind::bench
--- a/bench/routing-bench.cc
+++ b/bench/routing-bench.cc
@@ -3,15 +3,13 @@
 #include <algorithm>
 #include <numeric>
 
-#include "../test/call_chain.h"
 #include "../test/call_schedule.h"
+#include "call_chain.h"
 #include "figure.h"
 #include "figwind/call_state.h"
 
 using namespace figwind;
 using namespace figwind::bench;
-using test::call_chain;
-using test::chain_shape;
 
 namespace {
 
@@ -25,40 +23,41 @@
   double complete = 0;
 };
 
-auto measure(const chain_shape& shape) -> chain_figures {
+auto measure(const chain_shape& shape, int count) -> chain_figures {
   auto chain = call_chain{shape, 11};
   auto result = chain_figures{};
-  for (auto i = 0; i < requests; ++i) {
-    result.complete += chain.request() ? 1.0 / requests : 0;
+  for (auto i = 0; i < count; ++i) {
+    result.complete += chain.request() ? 1.0 / count : 0;
     const auto& calls = chain.calls();
     result.busiest =
         std::max(result.busiest, *std::max_element(calls.begin(), calls.end()));
     result.extra = std::max(result.extra, chain.extra());
-    result.calls += std::accumulate(calls.begin(), calls.end(), 0.0) / requests;
+    result.calls += std::accumulate(calls.begin(), calls.end(), 0.0) / count;
   }
   return result;
 }
 
-/// Calls of one request when each of `depth` hops makes 4 attempts and all
-/// fail: the product, computed because it cannot be run.
-auto unbounded_leaf_calls(int depth) -> double {
-  auto calls = 1.0;
-  for (auto i = 0; i < depth; ++i) calls *= 4;
-  return calls;
-}
-
-void print_chain(const std::string& name, const chain_shape& shape) {
-  const auto result = measure(shape);
+/// The baseline makes 4^depth calls of a failing leaf, so `baseline_depth` is
+/// lower where all leaves fail.
+void print_chain(const std::string& name, chain_shape shape,
+                 int baseline_depth) {
+  const auto start =
+      "retry." + name + "_" + std::to_string(shape.depth) + "_deep";
+  const auto result = measure(shape, requests);
+  auto baseline = std::optional<double>{};
+  if (shape.depth == baseline_depth) {
+    shape.retries_per_hop = 3;
+    baseline = measure(shape, 1).busiest;
+  }
   const auto bound = static_cast<double>(chain_retry_bound);
-  print({"retry." + name + ".calls_at_busiest_hop", "calls/request",
-         static_cast<double>(result.busiest), unbounded_leaf_calls(16),
-         1 + bound});
-  print({"retry." + name + ".extra_attempts",
+  print({start + ".calls_at_busiest_hop", "calls/request",
+         static_cast<double>(result.busiest), baseline, 1 + bound});
+  print({start + ".extra_attempts",
          "attempts/request",
          static_cast<double>(result.extra),
          {},
          bound});
-  print({"retry." + name + ".calls", "calls/request", result.calls, {}, {}});
+  print({start + ".calls", "calls/request", result.calls, {}, {}});
 }
 
 void print_policies() {
@@ -79,12 +78,12 @@
     shape.split = split;
     shape.loss = 0.01;
     shape.leaf_failure = 0.01;
-    const auto faulty = measure(shape);
+    const auto faulty = measure(shape, requests);
     shape.loss = 0;
     shape.leaf_failure = 0.2;
-    const auto flaky = measure(shape);
+    const auto flaky = measure(shape, requests);
     shape.leaf_failure = 1;
-    const auto failing = measure(shape);
+    const auto failing = measure(shape, requests);
     print({"retry.policy." + name + ".complete_at_1_percent_loss",
            "fraction",
            faulty.complete,
@@ -132,9 +131,28 @@
 }  // namespace
 
 auto main() -> int {
-  print_chain("all_leaves_fail", {.leaf_failure = 1});
-  print_chain("one_lost_answer_a_hop", {.lose_first = true});
-  print_chain("both", {.leaf_failure = 1, .lose_first = true});
+  constexpr auto runnable = 10;
+  for (const auto depth : {runnable, 16}) {
+    auto shape = chain_shape{};
+    shape.depth = depth;
+    shape.leaf_failure = 1;
+    print_chain("all_leaves_fail", shape, runnable);
+    shape.lose_first = true;
+    print_chain("all_leaves_fail_and_one_lost_answer_a_hop", shape, runnable);
+    shape.leaf_failure = 0;
+    print_chain("one_lost_answer_a_hop", shape, 16);
+  }
+  auto wide = chain_shape{};
+  wide.depth = 4;
+  wide.fan_out = 8;
+  wide.leaf_failure = 0.5;
+  wide.loss = 0.5;
+  const auto result = measure(wide, requests);
+  print({"retry.8_calls_a_hop_half_lost.extra_attempts",
+         "attempts/request",
+         static_cast<double>(result.extra),
+         {},
+         1.0 * chain_retry_bound});
   print_policies();
   print_schedules();
   return 0;
--- a/test/connection_pool-test.cc
+++ b/test/connection_pool-test.cc
@@ -2,12 +2,12 @@
 
 #include <gtest/gtest.h>
 
-#include "connection_fake.h"
+#include "../bench/connection_fake.h"
 #include "section.h"
 
 using namespace figwind;
-using figwind::test::connection_run;
-using figwind::test::connection_shape;
+using figwind::bench::connection_run;
+using figwind::bench::connection_shape;
 using figwind::test::section;
 
 namespace {
--- a/test/crash_guard-test.cc
+++ b/test/crash_guard-test.cc
@@ -2,7 +2,7 @@
 
 #include <gtest/gtest.h>
 
-#include "crash_fake.h"
+#include "../bench/crash_fake.h"
 #include "section.h"
 
 using namespace figwind;
@@ -106,13 +106,13 @@
 TEST(crash_guard, spares_requests_that_ran_beside_the_poisoned_one) {
   for (auto seed = 1U; seed <= 20; ++seed) {
     section("given one poisoned request among 300", [&] {
-      const auto result = test::run_crashes({}, seed);
+      const auto result = bench::run_crashes({}, seed);
       EXPECT_EQ(result.crashes, 2);
       EXPECT_EQ(result.poisoned_refused, 1);
       EXPECT_EQ(result.innocents_complete, 300);
     });
     section("given three that arrive together", [&] {
-      const auto result = test::run_crashes({.poisoned = 3}, seed);
+      const auto result = bench::run_crashes({.poisoned = 3}, seed);
       EXPECT_LE(result.crashes, 6);
       EXPECT_EQ(result.poisoned_refused, 3);
       EXPECT_EQ(result.refused_early, 0);
--- a/test/retry-test.cc
+++ b/test/retry-test.cc
@@ -4,12 +4,12 @@
 
 #include <cmath>
 
-#include "call_chain.h"
+#include "../bench/call_chain.h"
 #include "section.h"
 
 using namespace figwind;
-using figwind::test::call_chain;
-using figwind::test::chain_shape;
+using figwind::bench::call_chain;
+using figwind::bench::chain_shape;
 using figwind::test::section;
 
 namespace {
