--- a/include/figwind/retry.h
+++ b/include/figwind/retry.h
@@ -116,8 +116,9 @@
 struct retry_share_settings {
   /// Extra attempts for each first attempt while nothing is refused.
   double share = 0.1;
-  /// Extra attempts that may be saved up.
-  double burst = 20;
+  /// Extra attempts that may be saved up; a stalled server holds some 30 calls
+  /// of one entry node until it is set aside.
+  double burst = 60;
   /// Share of refused attempts at which no more are earned.
   double stop_at_refused = 0.3;
 };
@@ -158,7 +159,7 @@
   void observe(duration latency);
 
   /// Time after which an attempt without an answer is hedged: the latency that
-  /// 95 of 100 answered attempts stayed below; 0 while too few are known.
+  /// 98 of 100 answered attempts stayed below; 0 while too few are known.
   auto delay() const -> duration;
 
  private:
--- a/src/decisions/retry.cc
+++ b/src/decisions/retry.cc
@@ -125,12 +125,12 @@
 void hedge_timer::observe(duration latency) {
   constexpr auto mean_weight = 0.02;
   constexpr auto step = 0.1;
-  constexpr auto share_above = 0.05;
+  constexpr auto share_above = 0.02;
   ++count_;
   const auto weight = std::max(mean_weight, 1 / static_cast<double>(count_));
   mean_ += weight * (latency.ms - mean_);
   if (count_ == 1) quantile_ = 3 * latency.ms;
-  // Moves up 19 times as far as down, so it rests where 1 of 20 is above.
+  // Moves up 49 times as far as down, so it rests where 1 of 50 is above.
   const auto direction =
       latency.ms > quantile_ ? 1 - share_above : -share_above;
   quantile_ = std::max(quantile_ + step * mean_ * direction, 0.0);
