Allow another attempt on a server whose connection broke

Cause: a service with one server left had no second attempt after a silent or broken connection, although a new connection works.

Change: a call tells which servers refused or still work on it; the others may be tried once more when no new one is left.

--- a/include/figwind/call_state.h
+++ b/include/figwind/call_state.h
@@ -2,8 +2,9 @@
 // outcome that its caller gets.
 //
 // The owner feeds events in and carries out the returned actions in order.
-// After `try_server` it picks a server (none of `tried()`) and calls `started`,
-// or `no_server` when there is none or the retry share of the service is spent.
+// After `try_server` it picks a server (none of `tried()`, or if there is no
+// other none of `to_avoid()`) and calls `started`, or `no_server` when there is
+// none or the retry share of the service is spent.
 
 #pragma once
 
@@ -144,6 +145,11 @@
   /// Servers that were attempted.
   auto tried() const -> const std::vector<node_id>& { return tried_; }
 
+  /// Those of them that must not be attempted once more: they refused, or an
+  /// attempt there has not ended. A server whose connection broke may be, over
+  /// a new connection, when no other one is left.
+  auto to_avoid() const -> std::vector<node_id>;
+
   /// Unspent allowance, to be returned upstream once the call has ended.
   auto unspent_allowance() const -> int { return allowance_.remaining(); }
 
--- a/src/decisions/call_state.cc
+++ b/src/decisions/call_state.cc
@@ -59,6 +59,15 @@
   return settle();
 }
 
+auto call_state::to_avoid() const -> std::vector<node_id> {
+  auto out = std::vector<node_id>{};
+  for (const auto& a : attempts_) {
+    const auto ended = a.known == fate::lost || a.known == fate::failed;
+    if (!ended) out.push_back(a.server);
+  }
+  return out;
+}
+
 auto call_state::find(attempt_number number) -> attempt* {
   if (number == 0 || number > attempts_.size()) return nullptr;
   return &attempts_[number - 1];
--- a/test/call_state-test.cc
+++ b/test/call_state-test.cc
@@ -142,6 +142,17 @@
   }
 }
 
+// Guards against a call that fails because the only server's connection broke,
+// and against a second attempt on a server that refused or still works.
+TEST(call_state, tells_which_servers_may_be_tried_again) {
+  auto w = world{false};
+  EXPECT_EQ(w.call->to_avoid(), w.call->tried());
+  w.take(w.call->broken(1, whole));
+  EXPECT_EQ(w.call->to_avoid(), std::vector{w.call->tried()[1]});
+  w.answer(2, not_run, refusal::overload);
+  EXPECT_EQ(w.call->to_avoid().front(), w.call->tried()[1]);
+}
+
 // Guards against an answer that reaches the wrong caller, twice or in part.
 TEST(call_state, passes_on_only_the_whole_answer_of_its_own_request) {
   section("given a call with one attempt", [] {
