Pause calls to a server that loses them

Cause: a server that cannot be reached ends its calls at once and never has any in flight, so under load it looked free; a third of the subset may be aside, but a rack or a partition takes more.

Change: a lost attempt closes its server for 4 ms, doubling to 1 s until it answers; closed servers are used when nothing else is left.

--- a/src/decisions/balancer.cc
+++ b/src/decisions/balancer.cc
@@ -29,6 +29,7 @@
 constexpr auto last_probe_gap = milliseconds(1600);
 constexpr auto shortest_backoff = milliseconds(2);
 constexpr auto longest_backoff = milliseconds(50);
+constexpr auto longest_lost_pause = seconds(1);
 constexpr auto unlimited = 1e9;
 
 /// Mean latency of one class, robust against single long ones.
@@ -64,6 +65,7 @@
   time_point next_probe;
   time_point backoff_until;
   duration backoff = shortest_backoff;
+  duration lost_pause = shortest_backoff;
   /// Own calls in flight at which the server refused of late; other entry
   /// nodes use the rest of its slots.
   double own_limit = unlimited;
@@ -92,6 +94,15 @@
     return in_flight >= limit || now < backoff_until;
   }
 
+  /// A server that cannot be reached ends its calls at once, so it has none in
+  /// flight; only a pause keeps calls away from it.
+  void lose(time_point now) {
+    constexpr auto weight = 4.0;
+    exposure += weight;
+    lost_pause = std::min(lost_pause * 2, longest_lost_pause);
+    backoff_until = std::max(backoff_until, now + lost_pause);
+  }
+
   void lower_limit() {
     const auto refused_at = std::min<double>(own_limit, in_flight + 1);
     own_limit = std::max(refused_at * 0.9, 1.0);
@@ -394,6 +405,7 @@
   if (end == attempt_end::answered) {
     s.completions += r.rate > 0 ? 1 : 0;
     s.backoff = shortest_backoff;
+    s.lost_pause = shortest_backoff;
     s.raise_limit();
     r.kind->add(latency);
   }
@@ -402,8 +414,7 @@
     s.completions += 1;
     s.exposure += std::max(1 - (now - r.started).ms * r.rate, 0.0);
   }
-  constexpr auto lost_weight = 4.0;
-  if (end == attempt_end::lost) s.exposure += lost_weight;
+  if (end == attempt_end::lost) s.lose(now);
   state_->judge(*r.service, s, now);
 }
 
--- a/test/balancer-test.cc
+++ b/test/balancer-test.cc
@@ -213,6 +213,30 @@
   }
 }
 
+// Guards against calls that are sent again and again to servers which cannot
+// be reached: they end at once, so such servers never have calls in flight.
+TEST(balancer, leaves_unreachable_servers_alone) {
+  auto servers = local(4);
+  for (auto& s : servers) s.slots = 75;
+  auto e = entry{servers};
+  e.call(400);
+  e.now = e.now + milliseconds(100);
+  e.end_due();
+  auto lost = 0;
+  for (auto i = 0; i < 3600; ++i) {
+    const auto chosen = e.choose();
+    const auto ticket = e.routes.started(service, chosen, kind, e.now);
+    const auto dead = chosen.target->id == servers[0].id ||
+                      chosen.target->id == servers[1].id;
+    lost += dead ? 1 : 0;
+    if (dead) e.routes.finished(ticket, attempt_end::lost, e.now);
+    if (!dead) e.open.emplace(e.now + milliseconds(100), ticket);
+    e.now = e.now + milliseconds(1);
+    e.end_due();
+  }
+  EXPECT_LE(lost, 36);
+}
+
 // Guards against connections that move with every change of membership, and
 // against a subset that depends on the order of the list.
 TEST(balancer, keeps_its_subset_under_change) {
