Measure suspects beside uploads after a crash

Cause: of the requests that were present at a crash one runs at a time, so a long one may hold up the others.

--- a/bench/crash-bench.cc
+++ b/bench/crash-bench.cc
@@ -49,5 +49,6 @@
   print_crashes("ro-centru.one_poisoned", {});
   print_crashes("ro-centru.five_poisoned", {.poisoned = 5});
   print_crashes("pl-central.one_poisoned", {.servers = 3, .slots = 85});
+  print_crashes("ro-centru.one_poisoned_and_scans", {.long_each = 20});
   return 0;
 }
--- a/bench/crash_fake.h
+++ b/bench/crash_fake.h
@@ -19,6 +19,8 @@
   /// Steps of 10 ms that an innocent request takes.
   int steps = 4;
   bool guarded = true;
+  /// One innocent request in this many takes 100 times as long; 0 for none.
+  int long_each = 0;
   int total_steps = 1000;
 };
 
@@ -29,7 +31,7 @@
   /// Refused although they were running at fewer than two crashes.
   int refused_early = 0;
   int poisoned_refused = 0;
-  /// Time until every innocent request has ended.
+  /// Time until every short innocent request has ended.
   double innocents_ms = 0;
 };
 
@@ -59,6 +61,11 @@
     return fingerprint_of({"lookup"}, {}, std::to_string(r));
   };
   const auto poisoned = [&](int r) { return r >= shape.innocents; };
+  const auto is_long = [&](int r) {
+    return shape.long_each > 0 && !poisoned(r) && r % shape.long_each == 0;
+  };
+  auto shorts_left = 0;
+  for (auto r = 0; r < shape.innocents; ++r) shorts_left += is_long(r) ? 0 : 1;
   for (auto r = 0; r < total; ++r) {
     servers[random.index(count)].queue.push_back(r);
   }
@@ -75,6 +82,7 @@
         ++(poisoned(r) ? out.poisoned_refused : out.innocents_refused);
         const auto times = present[static_cast<std::size_t>(r)];
         out.refused_early += times < 2 ? 1 : 0;
+        shorts_left -= poisoned(r) || is_long(r) ? 0 : 1;
         continue;
       }
       const auto full = s.runs.size() >= static_cast<std::size_t>(shape.slots);
@@ -83,7 +91,8 @@
         continue;
       }
       s.guard.started(print_of(r));
-      s.runs.push_back({r, poisoned(r) ? shape.steps / 2 : shape.steps});
+      const auto whole = shape.steps * (is_long(r) ? 100 : 1);
+      s.runs.push_back({r, poisoned(r) ? shape.steps / 2 : whole});
     }
   };
   for (auto step = 0; step < shape.total_steps; ++step) {
@@ -112,6 +121,7 @@
           }
           s.guard.finished(print_of(r.request), true, now);
           ++out.innocents_complete;
+          shorts_left -= is_long(r.request) ? 0 : 1;
         }
       }
       s.runs = std::move(remaining);
@@ -120,10 +130,7 @@
       const auto report = s.guard.changes(100, now);
       for (auto& other : servers) other.guard.merge(report, now);
     }
-    if (out.innocents_ms == 0 &&
-        out.innocents_complete + out.innocents_refused == shape.innocents) {
-      out.innocents_ms = now.ms;
-    }
+    if (out.innocents_ms == 0 && shorts_left == 0) out.innocents_ms = now.ms;
   }
   return out;
 }
