Let a suspect start beside one that has run for 100 ms

Cause: a long innocent request that was present at a crash held up all short ones behind it.

Change: a suspect keeps others from starting for 100 ms only; `started` takes the time.

--- a/bench/crash_fake.h
+++ b/bench/crash_fake.h
@@ -90,7 +90,7 @@
         s.queue.push_back(r);
         continue;
       }
-      s.guard.started(print_of(r));
+      s.guard.started(print_of(r), now);
       const auto whole = shape.steps * (is_long(r) ? 100 : 1);
       s.runs.push_back({r, poisoned(r) ? shape.steps / 2 : whole});
     }
--- a/include/figwind/crash_guard.h
+++ b/include/figwind/crash_guard.h
@@ -70,6 +70,9 @@
 struct crash_guard_settings {
   /// Crashes at which a request is refused.
   std::size_t crash_limit = 2;
+  /// Time for which a suspect runs before the next one may start beside it;
+  /// a long innocent request must not hold up the others.
+  duration isolation = milliseconds(100);
   /// Time for which a crash is remembered; the retention of keys.
   duration retention = minutes(10);
   /// Requests remembered; cleared and least suspected ones are dropped first.
@@ -79,8 +82,8 @@
 /// What a server node may do with a request.
 enum class run_permit : std::uint8_t {
   run,
-  /// Another request that was present at a crash is running; wait for its end,
-  /// so that a further crash has one suspect.
+  /// Another request that was present at a crash has just started; wait for its
+  /// end or for `isolation`, so that a further crash has one suspect.
   wait,
   /// Answer "not run: repeated_crash".
   refuse,
@@ -97,7 +100,7 @@
 
   auto may_run(request_fingerprint request, time_point now) const -> run_permit;
 
-  void started(request_fingerprint request);
+  void started(request_fingerprint request, time_point now);
 
   /// A request ended without a crash. `completed` clears it of the crashes
   /// known so far; it is false when it was cancelled before its end.
@@ -123,6 +126,10 @@
   auto size() const -> std::size_t { return known_.size(); }
 
  private:
+  struct run {
+    int count = 0;
+    time_point last_start;
+  };
   struct mark {
     std::uint64_t crash = 0;
     time_point at;
@@ -142,7 +149,7 @@
   crash_guard_settings settings_;
   std::uint64_t crashes_ = 0;
   std::unordered_map<request_fingerprint, marks> known_;
-  std::unordered_map<request_fingerprint, int> running_;
+  std::unordered_map<request_fingerprint, run> running_;
   std::vector<request_fingerprint> changed_;
 };
 
--- a/src/decisions/crash_guard.cc
+++ b/src/decisions/crash_guard.cc
@@ -42,13 +42,16 @@
   if (marks == 0) return run_permit::run;
   const auto other_suspect =
       std::any_of(running_.begin(), running_.end(), [&](const auto& r) {
-        return r.first != request && open_marks(r.first, now) > 0;
+        const auto fresh = now - r.second.last_start < settings_.isolation;
+        return fresh && r.first != request && open_marks(r.first, now) > 0;
       });
   return other_suspect ? run_permit::wait : run_permit::run;
 }
 
-void crash_guard::started(request_fingerprint request) {
-  ++running_[request];
+void crash_guard::started(request_fingerprint request, time_point now) {
+  auto& r = running_[request];
+  ++r.count;
+  r.last_start = now;
 }
 
 void crash_guard::finished(request_fingerprint request, bool completed,
@@ -56,7 +59,7 @@
   const auto running = running_.find(request);
   // It ran when the server crashed, so its end is not its own.
   if (running == running_.end()) return;
-  if (--running->second == 0) running_.erase(running);
+  if (--running->second.count == 0) running_.erase(running);
   const auto found = known_.find(request);
   if (!completed || found == known_.end()) return;
   if (open_marks(request, now) == 0) return;
@@ -70,7 +73,7 @@
   const auto seed = self_.start.value * 0x9e3779b97f4a7c15U + crashes_;
   const auto crash = XXH3_64bits_withSeed(address.data(), address.size(), seed);
   auto report = crash_report{};
-  for (const auto& [request, count] : running_) {
+  for (const auto& [request, runs] : running_) {
     if (known_.count(request) == 0) make_room(now);
     auto& marks = known_[request];
     add(marks, {crash, now, false});
