--- a/bench/crash_fake.h
+++ b/bench/crash_fake.h
@@ -38,101 +38,144 @@
 /// All requests arrive at once; the poisoned ones crash a server in the middle
 /// of their run. A crash ends all runs of its server and each is sent again to
 /// a random one. Reports reach all servers within one step.
-inline auto run_crashes(const crash_shape& shape, std::uint64_t seed)
-    -> crash_figures {
-  struct run {
+class crash_run {
+ public:
+  crash_run(crash_shape shape, std::uint64_t seed)
+      : shape_{shape}, random_{seed} {
+    for (auto i = 0; i < shape.servers; ++i) {
+      servers_.push_back({crash_guard{{{std::to_string(i)}, {1}}}});
+    }
+    const auto total = shape.innocents + shape.poisoned;
+    present_.resize(static_cast<std::size_t>(total));
+    for (auto r = 0; r < total; ++r) {
+      shorts_left_ += is_short(r) ? 1 : 0;
+      send(r);
+    }
+  }
+
+  auto run() -> crash_figures {
+    for (auto step = 0; step < shape_.total_steps; ++step) {
+      now_ = now_ + milliseconds(10);
+      for (auto& s : servers_) {
+        admit(s);
+        if (advance(s)) {
+          crash(s);
+        } else {
+          complete(s);
+        }
+      }
+      for (auto& s : servers_) spread(s.guard.changes(100, now_));
+      if (out_.innocents_ms == 0 && shorts_left_ == 0) {
+        out_.innocents_ms = now_.ms;
+      }
+    }
+    return out_;
+  }
+
+ private:
+  struct request_run {
     int request = 0;
     int left = 0;
   };
   struct backend {
     crash_guard guard;
     std::deque<int> queue{};
-    std::vector<run> runs{};
+    std::vector<request_run> runs{};
   };
-  auto random = random_source{seed};
-  auto out = crash_figures{};
-  auto servers = std::vector<backend>{};
-  const auto count = static_cast<std::size_t>(shape.servers);
-  for (auto i = 0; i < shape.servers; ++i) {
-    servers.push_back({crash_guard{{{std::to_string(i)}, {1}}}});
+
+  auto poisoned(int r) const -> bool { return r >= shape_.innocents; }
+
+  auto is_long(int r) const -> bool {
+    return shape_.long_each > 0 && !poisoned(r) && r % shape_.long_each == 0;
   }
-  const auto total = shape.innocents + shape.poisoned;
-  const auto print_of = [](int r) {
+
+  auto is_short(int r) const -> bool { return !poisoned(r) && !is_long(r); }
+
+  static auto print_of(int r) -> request_fingerprint {
     return fingerprint_of({"lookup"}, {}, std::to_string(r));
-  };
-  const auto poisoned = [&](int r) { return r >= shape.innocents; };
-  const auto is_long = [&](int r) {
-    return shape.long_each > 0 && !poisoned(r) && r % shape.long_each == 0;
-  };
-  auto shorts_left = 0;
-  for (auto r = 0; r < shape.innocents; ++r) shorts_left += is_long(r) ? 0 : 1;
-  for (auto r = 0; r < total; ++r) {
-    servers[random.index(count)].queue.push_back(r);
   }
-  auto present = std::vector<int>(static_cast<std::size_t>(total));
-  auto now = time_point{0};
-  const auto admit = [&](backend& s) {
+
+  void send(int r) {
+    servers_[random_.index(servers_.size())].queue.push_back(r);
+  }
+
+  void spread(const crash_report& report) {
+    for (auto& s : servers_) s.guard.merge(report, now_);
+  }
+
+  void admit(backend& s) {
     const auto waiting = s.queue.size();
     for (auto i = std::size_t{0}; i < waiting; ++i) {
       const auto r = s.queue.front();
       s.queue.pop_front();
       const auto permit =
-          shape.guarded ? s.guard.may_run(print_of(r), now) : run_permit::run;
+          shape_.guarded ? s.guard.may_run(print_of(r), now_) : run_permit::run;
+      const auto full = s.runs.size() >= static_cast<std::size_t>(shape_.slots);
       if (permit == run_permit::refuse) {
-        ++(poisoned(r) ? out.poisoned_refused : out.innocents_refused);
-        const auto times = present[static_cast<std::size_t>(r)];
-        out.refused_early += times < 2 ? 1 : 0;
-        shorts_left -= poisoned(r) || is_long(r) ? 0 : 1;
-        continue;
-      }
-      const auto full = s.runs.size() >= static_cast<std::size_t>(shape.slots);
-      if (full || permit == run_permit::wait) {
+        refuse(r);
+      } else if (full || permit == run_permit::wait) {
         s.queue.push_back(r);
-        continue;
-      }
-      s.guard.started(print_of(r), now);
-      const auto whole = shape.steps * (is_long(r) ? 100 : 1);
-      s.runs.push_back({r, poisoned(r) ? shape.steps / 2 : whole});
-    }
-  };
-  for (auto step = 0; step < shape.total_steps; ++step) {
-    now = now + milliseconds(10);
-    for (auto& s : servers) {
-      admit(s);
-      auto crash = false;
-      for (auto& r : s.runs) {
-        --r.left;
-        crash = crash || (poisoned(r.request) && r.left == 0);
-      }
-      auto remaining = std::vector<run>{};
-      if (crash) {
-        ++out.crashes;
-        const auto report = s.guard.crashed(now);
-        for (auto& other : servers) other.guard.merge(report, now);
-        for (const auto& r : s.runs) {
-          ++present[static_cast<std::size_t>(r.request)];
-          servers[random.index(count)].queue.push_back(r.request);
-        }
       } else {
-        for (const auto& r : s.runs) {
-          if (r.left > 0) {
-            remaining.push_back(r);
-            continue;
-          }
-          s.guard.finished(print_of(r.request), true, now);
-          ++out.innocents_complete;
-          shorts_left -= is_long(r.request) ? 0 : 1;
-        }
+        start(s, r);
       }
-      s.runs = std::move(remaining);
     }
-    for (auto& s : servers) {
-      const auto report = s.guard.changes(100, now);
-      for (auto& other : servers) other.guard.merge(report, now);
+  }
+
+  void refuse(int r) {
+    ++(poisoned(r) ? out_.poisoned_refused : out_.innocents_refused);
+    out_.refused_early += present_[static_cast<std::size_t>(r)] < 2 ? 1 : 0;
+    shorts_left_ -= is_short(r) ? 1 : 0;
+  }
+
+  void start(backend& s, int r) {
+    s.guard.started(print_of(r), now_);
+    const auto whole = shape_.steps * (is_long(r) ? 100 : 1);
+    s.runs.push_back({r, poisoned(r) ? shape_.steps / 2 : whole});
+  }
+
+  /// True when the server crashes in this step.
+  auto advance(backend& s) -> bool {
+    auto crash = false;
+    for (auto& r : s.runs) {
+      --r.left;
+      crash = crash || (poisoned(r.request) && r.left == 0);
+    }
+    return crash;
+  }
+
+  void crash(backend& s) {
+    ++out_.crashes;
+    spread(s.guard.crashed(now_));
+    for (const auto& r : s.runs) {
+      ++present_[static_cast<std::size_t>(r.request)];
+      send(r.request);
     }
-    if (out.innocents_ms == 0 && shorts_left == 0) out.innocents_ms = now.ms;
+    s.runs.clear();
+  }
+
+  void complete(backend& s) {
+    std::erase_if(s.runs, [&](const request_run& r) {
+      if (r.left > 0) return false;
+      s.guard.finished(print_of(r.request), true, now_);
+      ++out_.innocents_complete;
+      shorts_left_ -= is_short(r.request) ? 1 : 0;
+      return true;
+    });
   }
-  return out;
+
+  crash_shape shape_;
+  random_source random_;
+  std::vector<backend> servers_;
+  /// Crashes at which each request was running.
+  std::vector<int> present_;
+  int shorts_left_ = 0;
+  time_point now_;
+  crash_figures out_;
+};
+
+inline auto run_crashes(const crash_shape& shape, std::uint64_t seed)
+    -> crash_figures {
+  return crash_run{shape, seed}.run();
 }
 
 }  // namespace figwind::bench
