--- a/bench/balancer-bench.cc
+++ b/bench/balancer-bench.cc
@@ -21,8 +21,8 @@
     shape.hedging = hedging;
     auto result = load_run{where, shape, 17}.run();
     struct {
-      double p99, attempts, remote, refused;
-    } out{result.quantile(0.99),
+      double p99, p999, attempts, remote, refused;
+    } out{result.quantile(0.99), result.quantile(0.999),
           static_cast<double>(result.attempts) /
               static_cast<double>(result.latencies.size()),
           result.remote * 1.0 / result.attempts, result.refused * 1.0};
@@ -37,6 +37,8 @@
   const auto hedged = p99(false, slow_ms, true);
   print({start + ".p99_without_straggler", "ms", calm.p99, {}, {}});
   print({start + ".p99_ratio", "x", slow.p99 / calm.p99, robin, p99_target});
+  print({start + ".p999_ratio", "x", slow.p999 / calm.p999, {}, {}});
+  print({start + ".hedged.p999_ratio", "x", hedged.p999 / calm.p999, {}, {}});
   print({start + ".remote", "fraction", slow.remote, calm.remote, {}});
   print({start + ".hedged.p99_ratio", "x", hedged.p99 / calm.p99, robin,
          p99_target});
@@ -49,6 +51,43 @@
   print({start + ".hedged.refused", "calls", hedged.refused, {}, {}});
 }
 
+/// Demand of one domain above its own servers, and of all above all servers.
+void print_spill(const deployment& where) {
+  auto shape = load_shape{};
+  shape.hedging = true;
+  const auto start = "balancer." + where.name + ".";
+  const auto share = [](int part, int of) { return 1.0 * part / of; };
+  shape.calls_per_node = 150;
+  shape.skew = 4;
+  const auto spilled = load_run{where, shape, 17}.run();
+  shape.local_only = true;
+  const auto local = load_run{where, shape, 17}.run();
+  print({start + "one_domain_busy.refused",
+         "fraction",
+         share(spilled.refused, spilled.calls),
+         share(local.refused, local.calls),
+         {}});
+  const auto capacity = where.servers * where.slots / shape.service_ms;
+  for (const auto factor : {2, 5}) {
+    shape = load_shape{};
+    shape.hedging = true;
+    shape.calls_per_node = factor * capacity * 1000 / where.entry_nodes;
+    shape.total_ms = 5000;
+    const auto over = load_run{where, shape, 17}.run();
+    const auto name = start + "overload_" + std::to_string(factor) + "x.";
+    print({name + "attempts",
+           "attempts/call",
+           share(over.attempts, over.calls),
+           {},
+           {}});
+    print({name + "answered",
+           "of capacity",
+           over.answered / (shape.total_ms * capacity),
+           {},
+           {}});
+  }
+}
+
 auto many(int count) -> std::vector<server> {
   auto out = std::vector<server>{};
   for (auto i = 0; i < count; ++i) {
@@ -128,6 +167,10 @@
     auto nearby = even;
     nearby.service_ms = 5;
     print_straggler(where, nearby, "even_5ms");
+    auto mixed = shape;
+    mixed.long_share = 0.002;
+    print_straggler(where, mixed, "exponential_40ms_and_scans");
+    print_spill(where);
   }
   for (const auto count : {6, 100, 1000}) print_cost(count);
   print_moves();
--- a/src/decisions/balancer.cc
+++ b/src/decisions/balancer.cc
@@ -29,6 +29,8 @@
 constexpr auto last_probe_gap = milliseconds(1600);
 constexpr auto shortest_backoff = milliseconds(2);
 constexpr auto longest_backoff = milliseconds(50);
+constexpr auto longest_lost_pause = seconds(1);
+constexpr auto unlimited = 1e9;
 
 /// Mean latency of one class, robust against single long ones.
 struct usual {
@@ -63,6 +65,10 @@
   time_point next_probe;
   time_point backoff_until;
   duration backoff = shortest_backoff;
+  duration lost_pause = shortest_backoff;
+  /// Own calls in flight at which the server refused of late; other entry
+  /// nodes use the rest of its slots.
+  double own_limit = unlimited;
 
   void advance(time_point now) {
     const auto passed = now - last;
@@ -84,7 +90,26 @@
   }
 
   auto full(time_point now) const -> bool {
-    return in_flight >= info.slots || now < backoff_until;
+    const auto limit = std::min<double>(own_limit, info.slots);
+    return in_flight >= limit || now < backoff_until;
+  }
+
+  /// A server that cannot be reached ends its calls at once, so it has none in
+  /// flight; only a pause keeps calls away from it.
+  void lose(time_point now) {
+    constexpr auto weight = 4.0;
+    exposure += weight;
+    lost_pause = std::min(lost_pause * 2, longest_lost_pause);
+    backoff_until = std::max(backoff_until, now + lost_pause);
+  }
+
+  void lower_limit() {
+    const auto refused_at = std::min<double>(own_limit, in_flight + 1);
+    own_limit = std::max(refused_at * 0.9, 1.0);
+  }
+
+  void raise_limit() {
+    if (own_limit < info.slots) own_limit += 1 / own_limit;
   }
 
   auto load() const -> double {
@@ -100,7 +125,6 @@
   std::vector<observed_ptr> local;
   std::vector<observed_ptr> remote;
   std::map<class_name, usual> kinds;
-  usual all;
 
   template <class Visit>
   void each(Visit&& visit) const {
@@ -381,16 +405,16 @@
   if (end == attempt_end::answered) {
     s.completions += r.rate > 0 ? 1 : 0;
     s.backoff = shortest_backoff;
+    s.lost_pause = shortest_backoff;
+    s.raise_limit();
     r.kind->add(latency);
-    r.service->all.add(latency);
   }
   // A quick error must not make a server look fast.
   if (end == attempt_end::failed && r.rate > 0) {
     s.completions += 1;
     s.exposure += std::max(1 - (now - r.started).ms * r.rate, 0.0);
   }
-  constexpr auto lost_weight = 4.0;
-  if (end == attempt_end::lost) s.exposure += lost_weight;
+  if (end == attempt_end::lost) s.lose(now);
   state_->judge(*r.service, s, now);
 }
 
@@ -400,6 +424,7 @@
   auto& s = *r.target;
   if (reason == refusal::draining) s.draining = true;
   if (reason != refusal::overload) return;
+  s.lower_limit();
   s.backoff_until = now + s.backoff;
   s.backoff = std::min(s.backoff * 2, longest_backoff);
 }
--- a/test/balancer-test.cc
+++ b/test/balancer-test.cc
@@ -92,6 +92,14 @@
       e.now = e.now + milliseconds(60);
       EXPECT_FALSE(e.choose().remote);
     });
+    section("the local server then gets fewer than it refused at", [&] {
+      auto locals = 0;
+      while (!e.choose().remote) {
+        e.start();
+        ++locals;
+      }
+      EXPECT_LT(locals, 4);
+    });
     section("a call that tried both is refused for overload", [&] {
       const auto tried = std::vector{e.servers[0].id, e.servers[1].id};
       const auto none = e.routes.choose(service, tried, e.now, e.random);
@@ -158,6 +166,22 @@
   });
 }
 
+// Guards against uploads that make the server which runs them look slow.
+TEST(balancer, judges_each_class_by_its_own_latency) {
+  auto e = entry{local(2)};
+  const auto scan = class_name{"scan"};
+  const auto first = e.routes.started(service, e.choose(), scan, e.now);
+  e.now = e.now + seconds(1);
+  e.routes.finished(first, attempt_end::answered, e.now);
+  e.call(100);
+  for (auto i = 0; i < 3; ++i) {
+    e.routes.started(service, e.choose(), scan, e.now);
+  }
+  e.now = e.now + milliseconds(800);
+  e.call(50);
+  EXPECT_TRUE(e.routes.set_aside(service).empty());
+}
+
 // Guards against a server that a single slow call keeps out of use for ever.
 TEST(balancer, forgets_a_slow_call_in_time) {
   auto e = entry{local(2)};
@@ -189,6 +213,30 @@
   }
 }
 
+// Guards against calls that are sent again and again to servers which cannot
+// be reached: they end at once, so such servers never have calls in flight.
+TEST(balancer, leaves_unreachable_servers_alone) {
+  auto servers = local(4);
+  for (auto& s : servers) s.slots = 75;
+  auto e = entry{servers};
+  e.call(400);
+  e.now = e.now + milliseconds(100);
+  e.end_due();
+  auto lost = 0;
+  for (auto i = 0; i < 3600; ++i) {
+    const auto chosen = e.choose();
+    const auto ticket = e.routes.started(service, chosen, kind, e.now);
+    const auto dead = chosen.target->id == servers[0].id ||
+                      chosen.target->id == servers[1].id;
+    lost += dead ? 1 : 0;
+    if (dead) e.routes.finished(ticket, attempt_end::lost, e.now);
+    if (!dead) e.open.emplace(e.now + milliseconds(100), ticket);
+    e.now = e.now + milliseconds(1);
+    e.end_due();
+  }
+  EXPECT_LE(lost, 36);
+}
+
 // Guards against connections that move with every change of membership, and
 // against a subset that depends on the order of the list.
 TEST(balancer, keeps_its_subset_under_change) {
