Make control members and record messages cheaper

A server's holder is an index instead of an address, leases are checked 5 times a second, and record messages leave out what the key or the attempt tells.

--- a/include/figwind/record_messages.h
+++ b/include/figwind/record_messages.h
@@ -68,7 +68,7 @@
 /// Server node to recorder.
 struct record_request {
   record_step step = record_step::begin;
-  failure_domain domain;
+  /// Among the groups of the key's domain.
   std::uint32_t group = 0;
   std::uint64_t epoch = 0;
   /// The life of the recorder that the request is for.
@@ -106,7 +106,6 @@
   node_id recorder;
   std::uint64_t epoch = 0;
   attempt_id attempt;
-  request_key key;
   record_answer answer = record_answer::granted;
   key_outcome outcome;
 };
@@ -178,13 +177,13 @@
 
 template <class Inspector>
 auto inspect(Inspector& f, record_request& x) {
-  return f(x.step, x.domain, x.group, x.epoch, x.recorder, x.attempt, x.key,
-           x.outcome, x.crashed);
+  return f(x.step, x.group, x.epoch, x.recorder, x.attempt, x.key, x.outcome,
+           x.crashed);
 }
 
 template <class Inspector>
 auto inspect(Inspector& f, record_reply& x) {
-  return f(x.step, x.recorder, x.epoch, x.attempt, x.key, x.answer, x.outcome);
+  return f(x.step, x.recorder, x.epoch, x.attempt, x.answer, x.outcome);
 }
 
 template <class Inspector>
--- a/include/figwind/registry.h
+++ b/include/figwind/registry.h
@@ -64,8 +64,8 @@
   auto on_heartbeat(const heartbeat& beat, time_point now)
       -> outgoing<heartbeat_reply>;
 
-  /// Expires leases; call it about 5 times a second. Once a second it gives a
-  /// digest request for each other member.
+  /// Expires leases 5 times a second; call it at least as often. Once a second
+  /// it gives a digest request for each other member.
   auto on_tick(time_point now) -> std::vector<outgoing<digest_request>>;
 
   auto on_digest_request(const digest_request& request, time_point now)
@@ -111,12 +111,14 @@
   [[nodiscard]] auto epoch() const -> std::uint64_t { return epoch_; }
 
  private:
+  static constexpr std::size_t own = static_cast<std::size_t>(-1);
+
   struct entry {
     server_record server;
     std::uint64_t beat = 0;
     config_version version;
-    /// Member that receives the heartbeats.
-    vm_address holder;
+    /// Place in `peers_` of the member that receives the heartbeats, or `own`.
+    std::size_t holder = own;
     /// Listing of the holder's digest that last named the server.
     std::uint64_t generation = 0;
     time_point heard;
@@ -134,6 +136,8 @@
     std::uint64_t epoch = 0;
     std::uint64_t cursor = 0;
     std::uint64_t generation = 1;
+    /// Generation whose missing servers were taken to be gone.
+    std::uint64_t swept = 0;
     bool complete = false;
     bool warming = true;
     time_point heard;
@@ -148,7 +152,7 @@
 
   auto make_reply(const heartbeat& beat) const -> heartbeat_reply;
   [[nodiscard]] auto held_versions() const -> version_table;
-  void store(const held_server& news, const vm_address& holder,
+  void store(const held_server& news, std::size_t holder,
              std::uint64_t generation, time_point now);
   void log_change(entry& e, time_point now);
   void log_held(entry& e);
@@ -157,12 +161,14 @@
   void end(entry& e, time_point now);
   void expire_leases(time_point now);
   void drop_ended(time_point now);
-  void end_unlisted(const peer& from, time_point now);
+  void end_unlisted(std::size_t from, time_point now);
   void find_silent(time_point now);
   void restart_silent_peers(time_point now);
-  auto find_peer(const vm_address& member) -> peer*;
-  auto is_live(const vm_address& member, time_point now) const -> bool;
-  auto silence_of(const vm_address& member, time_point now) const -> duration;
+  [[nodiscard]] auto find_peer(const vm_address& member) const -> std::size_t;
+  [[nodiscard]] auto covered_domains(time_point now) const
+      -> std::vector<failure_domain>;
+  void end_unheard(time_point now);
+  [[nodiscard]] auto is_live(std::size_t holder, time_point now) const -> bool;
   auto is_silent(const failure_domain& domain) const -> bool;
   auto changes_of(const service_cursor& asked, std::size_t& room) const
       -> service_changes;
@@ -179,6 +185,7 @@
   registry_options options_;
   time_point started_;
   time_point next_second_;
+  time_point next_expiry_;
   vm_address leader_;
   /// Starts above 0, which stands for a full list.
   std::uint64_t last_change_ = 1;
--- a/src/decisions/key_recorder.cc
+++ b/src/decisions/key_recorder.cc
@@ -112,7 +112,6 @@
   reply.step = request.step;
   reply.recorder = self_;
   reply.attempt = request.attempt;
-  reply.key = request.key;
   reply.answer = answer(request, unix_now, reply);
   return {request.attempt.node.address, std::move(reply)};
 }
@@ -120,8 +119,8 @@
 auto key_recorder::answer(const record_request& request, time_point unix_now,
                           record_reply& reply) -> record_answer {
   const auto parts = parse_key(request.key, options_.keys);
-  if (!parts || parts->domain != request.domain) return record_answer::bad_key;
-  auto* group = find(request.domain, request.group);
+  if (!parts) return record_answer::bad_key;
+  auto* group = find(parts->domain, request.group);
   if (request.recorder != self_ || group == nullptr || !group->member) {
     return record_answer::wrong_epoch;
   }
--- a/src/decisions/record_client.cc
+++ b/src/decisions/record_client.cc
@@ -163,7 +163,6 @@
     if (peer.answered && !again) continue;
     auto request = record_request{};
     request.step = x.step;
-    request.domain = x.domain;
     request.group = x.group;
     request.epoch = x.epoch;
     request.recorder = peer.recorder;
@@ -182,7 +181,7 @@
   const auto found = attempts_.find(reply.attempt.number);
   if (found == attempts_.end()) return out;
   auto& x = found->second;
-  if (reply.step != x.step || x.key != reply.key) return out;
+  if (reply.step != x.step) return out;
   // A vote counts only in the epoch it was given in.
   if (reply.answer == record_answer::granted && x.step == record_step::begin &&
       reply.epoch != x.epoch) {
--- a/src/decisions/registry.cc
+++ b/src/decisions/registry.cc
@@ -69,7 +69,7 @@
 
 auto registry::on_heartbeat(const heartbeat& beat, time_point now)
     -> outgoing<heartbeat_reply> {
-  store({beat.self, beat.beat}, self_.address, 0, now);
+  store({beat.self, beat.beat}, own, 0, now);
   auto& e = entries_[beat.self.node.address];
   if (e.server.node == beat.self.node) e.version = beat.version;
   return {beat.self.node.address, make_reply(beat)};
@@ -173,13 +173,17 @@
 
 auto registry::on_tick(time_point now)
     -> std::vector<outgoing<digest_request>> {
-  expire_leases(now);
+  if (now >= next_expiry_) {
+    next_expiry_ = now + milliseconds(200);
+    expire_leases(now);
+  }
   auto out = std::vector<outgoing<digest_request>>{};
   if (now < next_second_) return out;
   next_second_ = now + seconds(1);
   drop_ended(now);
   restart_silent_peers(now);
   find_silent(now);
+  end_unheard(now);
   for (const auto& x : peers_) {
     out.push_back({x.place.address, {self_.address, x.epoch, x.cursor}});
   }
@@ -228,33 +232,32 @@
 
 auto registry::on_digest(const domain_digest& digest, time_point now)
     -> std::vector<outgoing<digest_request>> {
-  auto* from = find_peer(digest.member);
-  if (from == nullptr) return {};
-  if (from->epoch != digest.epoch) {
+  const auto place = find_peer(digest.member);
+  if (place == own) return {};
+  auto& from = peers_[place];
+  if (from.epoch != digest.epoch) {
     if (digest.since != 0) return {};
-    from->epoch = digest.epoch;
-    from->cursor = 0;
-    from->complete = false;
-    ++from->generation;
+    from.epoch = digest.epoch;
+    from.cursor = 0;
+    from.complete = false;
+    ++from.generation;
   }
-  from->heard = now;
-  from->warming = digest.warming;
+  from.heard = now;
+  from.warming = digest.warming;
   // A digest that begins after the cursor would leave out changes.
-  if (digest.since > from->cursor) return {};
-  from->versions = digest.versions;
-  for (const auto& x : digest.servers) {
-    store(x, digest.member, from->generation, now);
-  }
-  from->cursor = std::max(from->cursor, digest.cursor);
+  if (digest.since > from.cursor) return {};
+  from.versions = digest.versions;
+  for (const auto& x : digest.servers) store(x, place, from.generation, now);
+  from.cursor = std::max(from.cursor, digest.cursor);
   if (digest.more) {
-    return {{digest.member, {self_.address, from->epoch, from->cursor}}};
+    return {{digest.member, {self_.address, from.epoch, from.cursor}}};
   }
-  from->complete = true;
-  if (!from->warming) end_unlisted(*from, now);
+  from.complete = true;
+  if (!from.warming) end_unlisted(place, now);
   return {};
 }
 
-void registry::store(const held_server& news, const vm_address& holder,
+void registry::store(const held_server& news, std::size_t holder,
                      std::uint64_t generation, time_point now) {
   auto [found, added] = entries_.try_emplace(news.server.node.address);
   auto& e = found->second;
@@ -289,7 +292,7 @@
 void registry::log_held(entry& e) {
   held_.erase(e.held_change);
   e.held_change = 0;
-  if (e.holder != self_.address) return;
+  if (e.holder != own) return;
   e.held_change = ++last_change_;
   held_.emplace(e.held_change, e.server.node.address);
 }
@@ -322,7 +325,7 @@
 
 void registry::expire_leases(time_point now) {
   for (auto& [address, e] : entries_) {
-    if (e.holder != self_.address) continue;
+    if (e.holder != own) continue;
     if (now - e.heard > options_.lease) end(e, now);
   }
 }
@@ -342,73 +345,70 @@
   }
 }
 
-void registry::end_unlisted(const peer& from, time_point now) {
+void registry::end_unlisted(std::size_t from, time_point now) {
+  auto& listed = peers_[from];
+  if (listed.swept == listed.generation) return;
+  listed.swept = listed.generation;
   for (auto& [address, e] : entries_) {
-    if (e.holder != from.place.address) continue;
-    if (e.generation != from.generation) end(e, now);
+    if (e.holder != from) continue;
+    if (e.generation != listed.generation) end(e, now);
   }
 }
 
 void registry::find_silent(time_point now) {
-  auto covered = std::vector<failure_domain>{};
-  auto cover = [&](const failure_domain& x) {
-    if (!contains(covered, x)) covered.push_back(x);
+  const auto covered = covered_domains(now);
+  silent_.clear();
+  auto check = [&](const failure_domain& x) {
+    if (!contains(covered, x) && !contains(silent_, x)) silent_.push_back(x);
   };
-  if (now - started_ >= options_.warm_up) cover(self_.domain);
-  for (const auto& x : peers_) {
-    if (is_live(x.place.address, now)) cover(x.place.domain);
+  check(self_.domain);
+  for (const auto& x : peers_) check(x.place.domain);
+}
+
+auto registry::covered_domains(time_point now) const
+    -> std::vector<failure_domain> {
+  auto out = std::vector<failure_domain>{};
+  if (is_live(own, now)) out.push_back(self_.domain);
+  auto failed = std::vector<failure_domain>{};
+  for (std::size_t i = 0; i < peers_.size(); ++i) {
+    const auto& x = peers_[i];
+    if (is_live(i, now)) out.push_back(x.place.domain);
+    if (now - x.heard >= options_.warm_up) failed.push_back(x.place.domain);
   }
+  if (failed.empty()) return out;
   // Nodes of a domain whose member fails turn to other members; when some
   // have, and had time for it, the domain itself is not cut off.
-  auto longest = std::map<failure_domain, duration>{};
-  for (const auto& x : peers_) {
-    longest[x.place.domain] = now - x.heard;
-  }
-  auto taken_in = std::vector<failure_domain>{};
   for (const auto& [address, e] : entries_) {
     if (is_gone(e.server) || !is_live(e.holder, now)) continue;
-    if (longest[e.server.domain] < options_.warm_up) continue;
-    if (!contains(taken_in, e.server.domain)) {
-      taken_in.push_back(e.server.domain);
+    const auto& domain = e.server.domain;
+    if (contains(failed, domain) && !contains(out, domain)) {
+      out.push_back(domain);
     }
   }
-  for (const auto& x : taken_in) cover(x);
-  silent_.clear();
-  auto check = [&](const failure_domain& x) {
-    if (!contains(covered, x) && !contains(silent_, x)) silent_.push_back(x);
-  };
-  check(self_.domain);
-  for (const auto& x : peers_) check(x.place.domain);
-  for (auto& [address, e] : entries_) {
-    const auto silence = silence_of(e.holder, now);
-    const auto failed =
-        silence > options_.warm_up && !is_silent(e.server.domain);
-    if (failed || silence > options_.keep_silent) end(e, now);
-  }
+  return out;
 }
 
-auto registry::find_peer(const vm_address& member) -> peer* {
-  for (auto& x : peers_) {
-    if (x.place.address == member) return &x;
+void registry::end_unheard(time_point now) {
+  for (auto& [address, e] : entries_) {
+    if (e.holder == own) continue;
+    const auto silence = now - peers_[e.holder].heard;
+    if (silence <= options_.warm_up) continue;
+    const auto failed = !is_silent(e.server.domain);
+    if (failed || silence > options_.keep_silent) end(e, now);
   }
-  return nullptr;
 }
 
-auto registry::is_live(const vm_address& member, time_point now) const -> bool {
-  if (member == self_.address) return now - started_ >= options_.warm_up;
-  for (const auto& x : peers_) {
-    if (x.place.address != member) continue;
-    return x.complete && !x.warming && now - x.heard <= options_.member_silence;
+auto registry::find_peer(const vm_address& member) const -> std::size_t {
+  for (std::size_t i = 0; i < peers_.size(); ++i) {
+    if (peers_[i].place.address == member) return i;
   }
-  return false;
+  return own;
 }
 
-auto registry::silence_of(const vm_address& member, time_point now) const
-    -> duration {
-  for (const auto& x : peers_) {
-    if (x.place.address == member) return now - x.heard;
-  }
-  return {};
+auto registry::is_live(std::size_t holder, time_point now) const -> bool {
+  if (holder == own) return now - started_ >= options_.warm_up;
+  const auto& x = peers_[holder];
+  return x.complete && !x.warming && now - x.heard <= options_.member_silence;
 }
 
 auto registry::is_silent(const failure_domain& domain) const -> bool {
@@ -457,7 +457,7 @@
 auto registry::held_versions() const -> version_table {
   auto out = version_table{};
   for (const auto& [address, e] : entries_) {
-    if (e.holder != self_.address || is_gone(e.server)) continue;
+    if (e.holder != own || is_gone(e.server)) continue;
     ++out[e.server.domain][e.version];
   }
   return out;
@@ -475,7 +475,7 @@
   auto out = std::vector<lagging_node>{};
   for (const auto& [address, e] : entries_) {
     if (out.size() >= limit) break;
-    if (e.holder != self_.address || is_gone(e.server)) continue;
+    if (e.holder != own || is_gone(e.server)) continue;
     if (e.version >= config_.version) continue;
     out.push_back({e.server.node, e.server.domain, e.version});
   }
--- a/test/key-recorder-test.cc
+++ b/test/key-recorder-test.cc
@@ -46,7 +46,6 @@
              const request_key& key) -> record_request {
   auto out = record_request{};
   out.step = step;
-  out.domain = domain;
   out.epoch = 1;
   out.recorder = to;
   out.attempt = {node("s"), attempt};
@@ -288,8 +287,8 @@
       for (std::size_t i = 0; i < 3; ++i) {
         if (x.answers[i] == '-') continue;
         const auto& asked = out.requests[i].message;
-        auto reply = record_reply{asked.step, asked.recorder,           1, id,
-                                  asked.key,  letters.at(x.answers[i]), {}};
+        auto reply = record_reply{asked.step, asked.recorder,           1,
+                                  id,         letters.at(x.answers[i]), {}};
         reply.outcome.status = call_status::complete;
         for (auto& y : client.on_reply(reply, {10}).decisions) {
           decisions.push_back(y);
@@ -312,7 +311,6 @@
   client.begin(key, true, {0}, unix_now, id);
   auto reply = record_reply{};
   reply.attempt = id;
-  reply.key = key;
   reply.epoch = 1;
   reply.recorder = node("b");
   EXPECT_TRUE(client.on_reply(reply, {1}).decisions.empty());
