--- a/test/membership-test.cc
+++ b/test/membership-test.cc
@@ -238,6 +238,35 @@
   }
 }
 
+// Guards against a server that stays listed because it failed together with the
+// member that held it, and one that stays away after only members were cut.
+TEST(membership, tells_failed_servers_from_cut_members) {
+  section("given a server that fails together with its member", [] {
+    auto x = settled("abc");
+    x->start_node("a2");
+    x->run(3000);
+    x->stop_member("a0");
+    x->stop_node("a2");
+    x->run(20'000);
+    EXPECT_EQ(x->seen("c1"), all_three);
+  });
+  section("given a member cut from the others and from one of its nodes", [] {
+    auto x = settled("abc");
+    x->start_node("a2");
+    x->run(3000);
+    const auto all = x->seen("c1");
+    EXPECT_EQ(all.size(), 4U);
+    x->lost = [](const std::string& from, const std::string& to) {
+      const auto other = from == "a0" ? to : to == "a0" ? from : "";
+      return other == "b0" || other == "c0" || other == "a1";
+    };
+    x->run(20'000);
+    x->lost = nullptr;
+    x->run(15'000);
+    EXPECT_EQ(x->seen("c1"), all);
+  });
+}
+
 // Guards against servers that vanish or flap in a partition, and against views
 // that differ after it.
 TEST(membership, merges_views_after_a_partition) {
