Limit the bytes of changes a member sends; replace draining recorders

Recorders are replaced when they drain, before a rack of them is returned, and an operator can confirm VMs as returned so that a group whose majority is lost starts again.

--- a/bench/membership-bench.cc
+++ b/bench/membership-bench.cc
@@ -9,6 +9,7 @@
 
 #include "figure.h"
 #include "figwind/node_view.h"
+#include "figwind/recorder_groups.h"
 #include "figwind/registry.h"
 #include "message_size.h"
 
@@ -325,6 +326,15 @@
                 missing,
                 {},
                 0});
+  const auto restart = static_cast<std::size_t>(x.now / 1000) + 1;
+  x.run(1000);
+  x.start_member(1);
+  x.run(12'000);
+  bench::print({"membership/14000/member-restarts/member-peak",
+                "B/s",
+                peak(x, restart),
+                steady.member_bytes,
+                {}});
 }
 
 void print_times(const std::string& name, std::vector<double> all,
@@ -414,9 +424,46 @@
   bench::print({path + "/accepted-after-3s", "calls", accepted, {}, 0});
 }
 
+/// Bytes a second of a node for 9,200 changes of the configuration a day, and
+/// for the recorder groups that 2,100 restarts a day change (each twice).
+void print_records() {
+  const auto changes = 9200 / 86'400.0;
+  const auto text = std::string(240'000, 'x');
+  const auto change = std::string(200, 'x');
+  auto x = cluster{1, 50};
+  auto& member = *x.members[0];
+  member.set_configuration({1}, text);
+  member.set_configuration({2}, text, {1}, change);
+  auto beat = heartbeat{};
+  const auto full = member.on_heartbeat(beat, {0}).message;
+  beat.received = {1};
+  const auto step = member.on_heartbeat(beat, {0}).message;
+  beat.received = {2};
+  const auto empty = member.on_heartbeat(beat, {0}).message;
+  auto extra = [&](const heartbeat_reply& y) {
+    return changes * static_cast<double>(size_of(y) - size_of(empty));
+  };
+  bench::print({"membership/14000/configuration-bytes", "B/s", extra(step),
+                extra(full), node_bytes});
+  auto group = recorder_group{};
+  group.domain = {"region-domain-0"};
+  group.recorders.resize(recorders_per_group, {{"10.0.100.100:7400"}, {1}});
+  group.joining = group.recorders[0];
+  group.leaving = group.recorders[0];
+  const auto recorders =
+      domains * group_options{}.groups_per_domain * recorders_per_group;
+  const auto replaced = restarts_a_day * recorders / design_nodes;
+  bench::print({"membership/14000/group-bytes",
+                "B/s",
+                2 * replaced / 86'400 * static_cast<double>(size_of(group)),
+                {},
+                node_bytes});
+}
+
 }  // namespace
 
 auto main() -> int {
+  print_records();
   print_costs();
   print_news();
   print_drain("with-news", true);
--- a/include/figwind/recorder_groups.h
+++ b/include/figwind/recorder_groups.h
@@ -21,14 +21,18 @@
   /// A group that starts without keys refuses those born within this time after
   /// its start: keys may be born 5 s ahead and clocks may differ by 10 s.
   duration fresh_guard = seconds(16);
+  /// Lives of nodes of which an operator has confirmed that their VM no longer
+  /// exists.
+  std::vector<node_id> returned;
 };
 
 /// The records of `domain` that must change, given its `nodes` as the registry
-/// holds them (with those that are gone) and the records in force. A recorder
-/// is replaced after its lease expired or a later life appeared, one at a time
-/// in each group; a change in flight is redirected when its joining recorder is
-/// gone. A group whose memory is certainly lost (later lives appeared at a
-/// majority of its addresses) starts again without keys.
+/// holds them (with those that are gone) and the records in force; only call it
+/// while `domain` is not among the registry's silent domains. A recorder is
+/// replaced when it drains, after its lease expired or when a later life
+/// appeared, one at a time in each group; a change in flight is redirected when
+/// its joining recorder is gone. A group whose memory is certainly lost (later
+/// lives or `returned` for a majority) starts again without keys.
 auto choose_groups(const failure_domain& domain,
                    const std::vector<server_record>& nodes,
                    const std::vector<recorder_group>& old, time_point unix_now,
--- a/include/figwind/registry.h
+++ b/include/figwind/registry.h
@@ -38,6 +38,10 @@
   duration keep_silent = minutes(120);
   /// Bytes of changes in one message; leaves room below 64 KiB.
   std::size_t message_bytes = 56'000;
+  /// Bytes of changes sent in a second; beyond it, changes of more than one
+  /// server wait for the node's next heartbeat. A whole domain that starts at
+  /// once asks for 20 MB, which would delay the answers to heartbeats.
+  double list_bytes_per_second = 8e6;
   /// Number of configuration changes kept to answer nodes without a full text.
   std::size_t kept_changes = 64;
 };
@@ -150,7 +154,8 @@
     time_point since;
   };
 
-  auto make_reply(const heartbeat& beat) const -> heartbeat_reply;
+  auto make_reply(const heartbeat& beat) -> heartbeat_reply;
+  void refill_lists(time_point now);
   [[nodiscard]] auto held_versions() const -> version_table;
   void store(const held_server& news, std::size_t holder,
              std::uint64_t generation, time_point now);
@@ -173,7 +178,7 @@
   auto changes_of(const service_cursor& asked, std::size_t& room) const
       -> service_changes;
   void add_services(const heartbeat& beat, heartbeat_reply& reply,
-                    std::size_t& room) const;
+                    std::size_t& room);
   void add_configs(const heartbeat& beat, heartbeat_reply& reply,
                    std::size_t& room) const;
   void add_groups(const heartbeat& beat, heartbeat_reply& reply,
@@ -186,6 +191,9 @@
   time_point started_;
   time_point next_second_;
   time_point next_expiry_;
+  /// Bytes of changes that may be sent now.
+  double list_room_ = 0;
+  time_point refilled_;
   vm_address leader_;
   /// Starts above 0, which stands for a full list.
   std::uint64_t last_change_ = 1;
--- a/src/decisions/recorder_groups.cc
+++ b/src/decisions/recorder_groups.cc
@@ -21,16 +21,21 @@
   return x.state == server_state::starting || x.state == server_state::serving;
 }
 
-auto is_gone(const node_map& nodes, const node_id& x) -> bool {
+auto must_leave(const node_map& nodes, const node_id& x) -> bool {
   const auto found = nodes.find(x.address);
   if (found == nodes.end()) return true;
   const auto& now = found->second;
-  return now.node.start > x.start || now.state == server_state::gone;
+  return now.node.start > x.start || !can_record(now);
 }
 
 /// A later life at the same address proves that the memory of `x` is lost; a
 /// lease that expired may only mean a partition.
-auto is_lost(const node_map& nodes, const node_id& x) -> bool {
+auto is_lost(const node_map& nodes, const node_id& x,
+             const group_options& options) -> bool {
+  const auto& returned = options.returned;
+  if (std::find(returned.begin(), returned.end(), x) != returned.end()) {
+    return true;
+  }
   const auto found = nodes.find(x.address);
   return found != nodes.end() && found->second.node.start > x.start;
 }
@@ -78,7 +83,7 @@
   auto out = old;
   const auto lost =
       std::count_if(old.recorders.begin(), old.recorders.end(),
-                    [&](const auto& x) { return is_lost(nodes, x); });
+                    [&](const auto& x) { return is_lost(nodes, x, options); });
   if (static_cast<std::size_t>(lost) > old.recorders.size() / 2) {
     auto fresh = fresh_group(old.domain, old.index, nodes);
     if (fresh.recorders.size() < recorders_per_group) return out;
@@ -89,11 +94,11 @@
   }
   const auto changing = !old.joining.address.value.empty();
   if (changing) {
-    if (is_gone(nodes, old.joining)) choose_joining(out, nodes, old.leaving);
+    if (must_leave(nodes, old.joining)) choose_joining(out, nodes, old.leaving);
     return out;
   }
   for (const auto& x : old.recorders) {
-    if (!is_gone(nodes, x)) continue;
+    if (!must_leave(nodes, x)) continue;
     choose_joining(out, nodes, x);
     break;
   }
--- a/src/decisions/registry.cc
+++ b/src/decisions/registry.cc
@@ -8,8 +8,6 @@
 
 namespace {
 
-/// Length fields of strings and the numbers of a record.
-constexpr std::size_t record_overhead = 32;
 /// Length fields and flags of the changes of one service.
 constexpr std::size_t changes_overhead = 32;
 /// Beat of a held server and its part of the list.
@@ -30,25 +28,6 @@
 
 }  // namespace
 
-auto to_string(server_state x) -> std::string {
-  switch (x) {
-    case server_state::starting:
-      return "starting";
-    case server_state::serving:
-      return "serving";
-    case server_state::draining:
-      return "draining";
-    case server_state::gone:
-      return "gone";
-  }
-  return "invalid";
-}
-
-auto message_size(const server_record& x) -> std::size_t {
-  return x.node.address.value.size() + x.service.value.size() +
-         x.domain.value.size() + x.call_address.value.size() + record_overhead;
-}
-
 registry::registry(member_place self, std::vector<member_place> members,
                    std::uint64_t epoch, registry_options options,
                    time_point now)
@@ -56,7 +35,9 @@
       epoch_{epoch},
       options_{options},
       started_{now},
-      next_second_{now} {
+      next_second_{now},
+      list_room_{options.list_bytes_per_second},
+      refilled_{now} {
   for (auto& place : members) {
     if (!contains(silent_, place.domain)) silent_.push_back(place.domain);
     if (place.address == self_.address) continue;
@@ -69,13 +50,21 @@
 
 auto registry::on_heartbeat(const heartbeat& beat, time_point now)
     -> outgoing<heartbeat_reply> {
+  refill_lists(now);
   store({beat.self, beat.beat}, own, 0, now);
   auto& e = entries_[beat.self.node.address];
   if (e.server.node == beat.self.node) e.version = beat.version;
   return {beat.self.node.address, make_reply(beat)};
 }
 
-auto registry::make_reply(const heartbeat& beat) const -> heartbeat_reply {
+void registry::refill_lists(time_point now) {
+  const auto added = (now - refilled_) / seconds(1);
+  refilled_ = now;
+  list_room_ = std::min(options_.list_bytes_per_second,
+                        list_room_ + added * options_.list_bytes_per_second);
+}
+
+auto registry::make_reply(const heartbeat& beat) -> heartbeat_reply {
   auto reply = heartbeat_reply{};
   reply.member = self_.address;
   reply.leader = leader_;
@@ -120,12 +109,19 @@
 }
 
 void registry::add_services(const heartbeat& beat, heartbeat_reply& reply,
-                            std::size_t& room) const {
+                            std::size_t& room) {
   for (const auto& asked : beat.services) {
     // A node with cursors of another epoch asks for full lists by itself,
     // spread over time.
     if (asked.since != 0 && beat.epoch != epoch_) continue;
+    const auto before = room;
     auto changes = changes_of(asked, room);
+    // News of a single server, such as a drain, does not wait.
+    if (list_room_ <= 0 && changes.servers.size() > 1) {
+      room = before;
+      continue;
+    }
+    list_room_ -= static_cast<double>(before - room);
     if (asked.since != 0 && changes.servers.empty() && !changes.restart &&
         !changes.more) {
       continue;
--- a/test/key-recorder-test.cc
+++ b/test/key-recorder-test.cc
@@ -336,12 +336,26 @@
     x.state = server_state::serving;
     nodes.push_back(x);
   }
-  const auto options = group_options{1, seconds(16)};
+  auto options = group_options{};
+  options.groups_per_domain = 1;
   auto choose = [&](const recorder_group& old) {
     return choose_groups(domain, nodes, {old}, unix_now, options);
   };
   section("with all recorders there, nothing changes",
           [&] { EXPECT_TRUE(choose(make_group()).empty()); });
+  section("given a recorder that drains, it is replaced in time", [&] {
+    nodes[1].state = server_state::draining;
+    const auto change = choose(make_group());
+    ASSERT_EQ(change.size(), 1U);
+    EXPECT_EQ(change[0].leaving, node("b"));
+  });
+  section("given two VMs that an operator confirms as returned", [&] {
+    options.returned = {node("b"), node("c")};
+    EXPECT_EQ(choose(make_group())[0].epoch, 2U);
+    options.returned = {node("b", 2), node("c")};
+    EXPECT_EQ(choose(make_group())[0].epoch, 1U);
+    options.returned.clear();
+  });
   section("given two expired leases, one recorder is replaced", [&] {
     nodes[1].state = server_state::gone;
     nodes[2].state = server_state::gone;
--- a/test/node-view-test.cc
+++ b/test/node-view-test.cc
@@ -136,3 +136,37 @@
   EXPECT_EQ(silent(7900), 1U);
   EXPECT_EQ(silent(9000), 0U);
 }
+
+// Guards against a domain that starts at once and takes all that a member can
+// send, against lists that are then never sent, and against drains that wait.
+TEST(registry, limits_the_bytes_of_lists) {
+  auto options = registry_options{};
+  options.list_bytes_per_second = 500;
+  auto x = registry{place, {place}, 7, options, {0}};
+  auto beat = heartbeat{};
+  for (int i = 0; i < 20; ++i) {
+    beat.self = server("a" + std::to_string(i), 1);
+    x.on_heartbeat(beat, {0});
+  }
+  beat.epoch = 7;
+  beat.services = {{service, 0}};
+  auto lists = [&](double ms) {
+    auto out = std::size_t{0};
+    for (int i = 0; i < 20; ++i) {
+      beat.self = server("a" + std::to_string(i), 1);
+      out += x.on_heartbeat(beat, {ms}).message.services.size();
+    }
+    return out;
+  };
+  const auto cursor = x.on_heartbeat(beat, {0}).message.services.at(0).cursor;
+  auto total = lists(0);
+  EXPECT_EQ(total, 0U);
+  section("news of one server does not wait", [&] {
+    auto other = beat;
+    other.self = server("a3", 2);
+    other.services = {{service, cursor}};
+    EXPECT_EQ(x.on_heartbeat(other, {1}).message.services.size(), 1U);
+  });
+  for (auto ms = 1000.0; ms < 300'000; ms += 1000) total += lists(ms);
+  EXPECT_GT(total, 20U);
+}
