--- a/test/key-recorder-test.cc
+++ b/test/key-recorder-test.cc
@@ -204,6 +204,11 @@
       EXPECT_EQ(ask(x, begin).answer, record_answer::wrong_epoch);
     }
   });
+  section("a request for another life is refused", [&] {
+    auto x = recorder_a();
+    const auto begin = request(record_step::begin, node("a", 2), 1, key);
+    EXPECT_EQ(ask(x, begin).answer, record_answer::wrong_epoch);
+  });
   section("a recorder that joined without the keys refuses", [&] {
     auto x = key_recorder{node("e"), {}};
     x.set_group(changing_group());
@@ -317,6 +322,7 @@
   auto next = complete_takeover(changing_group(), {domain, 0, 1, 2, node("e")});
   next.version = 3;
   client.set_group(next);
+  EXPECT_TRUE(client.on_reply(reply, {2}).decisions.empty());
   reply.recorder = node("a");
   EXPECT_TRUE(client.on_reply(reply, {2}).decisions.empty());
   reply.epoch = 2;
@@ -376,7 +382,9 @@
       section("and the first one's report no longer ends the change", [&] {
         auto now = other[0];
         now.version = 3;
-        const auto late = takeover_done{domain, 0, 1, 2, change[0].joining};
+        auto late = takeover_done{domain, 0, 1, 2, change[0].joining};
+        EXPECT_EQ(complete_takeover(now, late), now);
+        late.joining = now.joining;
         EXPECT_EQ(complete_takeover(now, late), now);
       });
     });
