--- a/test/key-recorder-test.cc
+++ b/test/key-recorder-test.cc
@@ -46,7 +46,6 @@
              const request_key& key) -> record_request {
   auto out = record_request{};
   out.step = step;
-  out.domain = domain;
   out.epoch = 1;
   out.recorder = to;
   out.attempt = {node("s"), attempt};
@@ -205,6 +204,11 @@
       EXPECT_EQ(ask(x, begin).answer, record_answer::wrong_epoch);
     }
   });
+  section("a request for another life is refused", [&] {
+    auto x = recorder_a();
+    const auto begin = request(record_step::begin, node("a", 2), 1, key);
+    EXPECT_EQ(ask(x, begin).answer, record_answer::wrong_epoch);
+  });
   section("a recorder that joined without the keys refuses", [&] {
     auto x = key_recorder{node("e"), {}};
     x.set_group(changing_group());
@@ -288,8 +292,8 @@
       for (std::size_t i = 0; i < 3; ++i) {
         if (x.answers[i] == '-') continue;
         const auto& asked = out.requests[i].message;
-        auto reply = record_reply{asked.step, asked.recorder,           1, id,
-                                  asked.key,  letters.at(x.answers[i]), {}};
+        auto reply = record_reply{asked.step, asked.recorder,           1,
+                                  id,         letters.at(x.answers[i]), {}};
         reply.outcome.status = call_status::complete;
         for (auto& y : client.on_reply(reply, {10}).decisions) {
           decisions.push_back(y);
@@ -312,13 +316,13 @@
   client.begin(key, true, {0}, unix_now, id);
   auto reply = record_reply{};
   reply.attempt = id;
-  reply.key = key;
   reply.epoch = 1;
   reply.recorder = node("b");
   EXPECT_TRUE(client.on_reply(reply, {1}).decisions.empty());
   auto next = complete_takeover(changing_group(), {domain, 0, 1, 2, node("e")});
   next.version = 3;
   client.set_group(next);
+  EXPECT_TRUE(client.on_reply(reply, {2}).decisions.empty());
   reply.recorder = node("a");
   EXPECT_TRUE(client.on_reply(reply, {2}).decisions.empty());
   reply.epoch = 2;
@@ -338,12 +342,26 @@
     x.state = server_state::serving;
     nodes.push_back(x);
   }
-  const auto options = group_options{1, seconds(16)};
+  auto options = group_options{};
+  options.groups_per_domain = 1;
   auto choose = [&](const recorder_group& old) {
     return choose_groups(domain, nodes, {old}, unix_now, options);
   };
   section("with all recorders there, nothing changes",
           [&] { EXPECT_TRUE(choose(make_group()).empty()); });
+  section("given a recorder that drains, it is replaced in time", [&] {
+    nodes[1].state = server_state::draining;
+    const auto change = choose(make_group());
+    ASSERT_EQ(change.size(), 1U);
+    EXPECT_EQ(change[0].leaving, node("b"));
+  });
+  section("given two VMs that an operator confirms as returned", [&] {
+    options.returned = {node("b"), node("c")};
+    EXPECT_EQ(choose(make_group())[0].epoch, 2U);
+    options.returned = {node("b", 2), node("c")};
+    EXPECT_EQ(choose(make_group())[0].epoch, 1U);
+    options.returned.clear();
+  });
   section("given two expired leases, one recorder is replaced", [&] {
     nodes[1].state = server_state::gone;
     nodes[2].state = server_state::gone;
@@ -364,7 +382,9 @@
       section("and the first one's report no longer ends the change", [&] {
         auto now = other[0];
         now.version = 3;
-        const auto late = takeover_done{domain, 0, 1, 2, change[0].joining};
+        auto late = takeover_done{domain, 0, 1, 2, change[0].joining};
+        EXPECT_EQ(complete_takeover(now, late), now);
+        late.joining = now.joining;
         EXPECT_EQ(complete_takeover(now, late), now);
       });
     });
