--- a/include/figwind/limiter.h
+++ b/include/figwind/limiter.h
@@ -29,7 +29,7 @@
   /// Shortest time between two changes.
   duration period = milliseconds(100);
   /// Completions that one judgement needs.
-  int samples = 100;
+  int samples = 200;
   /// Time for which a refuted change is not tried again.
   duration hold = seconds(2);
   /// Time constant with which the baseline follows a lasting slowdown.
@@ -66,7 +66,6 @@
   struct judgement {
     double limit = 0;
     double slowdown = 0;
-    double throughput = 0;
   };
 
   auto relative_time(const class_name& name, double ms, time_point now)
@@ -86,7 +85,6 @@
   time_point epoch_;
   int completions_ = 0;
   double relative_sum_ = 0;
-  double work_sum_ = 0;
   double in_flight_sum_ = 0;
 
   double slowdown_ = 1;
--- a/src/decisions/limiter.cc
+++ b/src/decisions/limiter.cc
@@ -83,7 +83,6 @@
   const auto relative = relative_time(name, own_time.ms, now);
   completions_ += 1;
   relative_sum_ += relative;
-  work_sum_ += baselines_[name].ms;
   in_flight_sum_ += in_flight;
   const auto age = now - epoch_;
   const auto enough =
@@ -96,7 +95,6 @@
   const auto seen = judgement{
       limit_,
       relative_sum_ / completions_,
-      work_sum_ / (now - epoch_).ms,
   };
   const auto binding =
       in_flight_sum_ / completions_ >= binding_share * limit(now);
@@ -104,7 +102,6 @@
   epoch_ = now;
   completions_ = 0;
   relative_sum_ = 0;
-  work_sum_ = 0;
   in_flight_sum_ = 0;
   if (binding && undo(seen, now)) return;
   last_change_ = 0;
@@ -117,15 +114,14 @@
 
 auto limiter::undo(const judgement& seen, time_point now) -> bool {
   if (last_change_ == 0) return false;
+  // By Little's law throughput is running calls over service time, so a change
+  // of the limit is lost throughput as far as service time does not follow it
+  // down, and gained throughput as far as it does not follow it up.
   const auto step = seen.limit / before_.limit - 1;
-  const auto throughput_step = seen.throughput / before_.throughput - 1;
-  const auto slowdown_step = seen.slowdown / before_.slowdown - 1;
-  // A cut is refuted when throughput paid for it and service time did not
-  // follow, a raise when service time grew with it and throughput did not; with
-  // the sign of the step both are the same comparison.
-  const auto refuted = throughput_step < least_effect * step &&
-                       slowdown_step > least_effect * step;
-  if (!refuted) return false;
+  const auto followed = seen.slowdown / before_.slowdown - 1;
+  if (followed <= least_effect * step) return false;
+  // Close to the baseline the difference is within the noise of the samples.
+  if (step > 0 && seen.slowdown < std::sqrt(options_.tolerance)) return false;
   limit_ = before_.limit;
   last_change_ = 0;
   held_until_ = now + hold_;
