--- a/bench/chain.h
+++ b/bench/chain.h
@@ -168,7 +168,6 @@
       auto x = std::make_unique<node>(loop_, kind_, service.slots);
       x->address.value = service.name.value + "-" + std::to_string(i);
       x->server.checked_importance = shape_.protected_importance;
-      x->server.shortest = milliseconds(150);
       all_.push_back(x.get());
       nodes.push_back(std::move(x));
     }
@@ -257,7 +256,8 @@
       entry.entries.admitted(call.importance, now);
       return true;
     }
-    if (call.importance <= shape_.protected_importance) {
+    const auto counts = call.importance <= shape_.protected_importance;
+    if (counts && reason == refusal::overload) {
       entry.entries.refused(call.importance, now, now);
     }
     return false;
--- a/bench/fake_server.h
+++ b/bench/fake_server.h
@@ -177,9 +177,6 @@
 
   [[nodiscard]] auto queue() const -> const run_queue& { return queue_; }
 
-  /// Shortest time in which a call can finish here; refusals for less time
-  /// than that are not counted against the order of importance.
-  duration shortest;
   /// Classes up to this importance are checked for order.
   int checked_importance = 0;
   order_check order;
@@ -217,7 +214,12 @@
                     refusal reason) {
     refusals[reason] += 1;
     if (call.importance > checked_importance) return;
-    if (reason == refusal::deadline && call.time_left < shortest) return;
+    // An arrival that could not finish on an idle server either was not
+    // refused in favour of another.
+    const auto waits =
+        queue_.expected_wait(call.importance, loop_->now()) > duration{};
+    const auto arriving = arrived == loop_->now();
+    if (reason == refusal::deadline && arriving && !waits) return;
     order.refused(call.importance, arrived, loop_->now());
   }
 
