Expose the least time of a class and exclude hopeless calls from the order check

Cause: a call with less time left than any call of its class needs is refused whatever runs beside it; the order check counted it. Change: run_queue::least_time; the check compares the time left with it.

--- a/include/figwind/run_queue.h
+++ b/include/figwind/run_queue.h
@@ -121,6 +121,11 @@
   [[nodiscard]] auto expected_wait(int importance, time_point now) const
       -> duration;
 
+  /// Time that calls of the class were seen to need at least, once started; 0
+  /// before the first completion.
+  [[nodiscard]] auto least_time(const class_name& name, time_point now) const
+      -> duration;
+
   /// Changes the declared slots of the server.
   void set_slots(int slots);
 
--- a/src/decisions/run_queue.cc
+++ b/src/decisions/run_queue.cc
@@ -72,18 +72,19 @@
   x.deadline = now + call.time_left;
   x.level = level_at_depth(call, options_.threshold.depth_margin);
   x.kind = split_.kind_of(call);
+  x.latest_start_ms = x.deadline.ms - least_time(call.name, now).ms;
   const auto found = held_.find(call.name);
-  if (found != held_.end()) {
-    x.held_ms = found->second.last_mean().ms;
-    x.latest_start_ms = x.deadline.ms - found->second.least(now).ms;
-    return x;
-  }
-  const auto& all = all_held_;
-  x.held_ms = all.empty() ? unknown_held_ms : all.last_mean().ms;
-  x.latest_start_ms = x.deadline.ms;
+  const auto& held = found == held_.end() ? all_held_ : found->second;
+  x.held_ms = held.empty() ? unknown_held_ms : held.last_mean().ms;
   return x;
 }
 
+auto run_queue::least_time(const class_name& name, time_point now) const
+    -> duration {
+  const auto found = held_.find(name);
+  return found == held_.end() ? duration{} : found->second.least(now);
+}
+
 auto run_queue::refusal_of(const call_context& call, const entry& x,
                            time_point now) const -> refusal {
   if (!threshold_.admits(call)) return refusal::overload;
