Reserve free slots for callers and pause long work in its guaranteed slot

Cause: a fixed share let internal calls fill the server, and 5% guaranteed to long work took 3 of 75 or 1 of 20 slots for good. Change: internal calls start only above a number of free slots; long work that has no slot left by the headroom gets one slot with a pause as long as a call.

--- a/include/figwind/slot_split.h
+++ b/include/figwind/slot_split.h
@@ -34,11 +34,14 @@
   /// Slots beyond the mean demand that are kept for short work, in square
   /// roots of that demand (square-root staffing, Halfin and Whitt 1981).
   double headroom = 3;
-  /// The same for caller-facing work against internal work. Less is enough
-  /// because internal calls give their slots back soon.
-  double internal_headroom = 0.5;
-  /// Share of the slots, at least one, that waiting long work gets.
-  fraction guaranteed{0.05};
+  /// Free slots that internal work must leave to callers, in square roots of
+  /// the callers' demand (trunk reservation). Less is enough than against long
+  /// work because internal calls give their slots back soon.
+  double internal_headroom = 1;
+  /// Pause after a long call that ran in its guaranteed slot, in mean times of
+  /// long calls. The guaranteed slot is lent only when the headroom leaves no
+  /// slot to long work.
+  double long_pause = 1;
   /// Time constant with which demand estimates rise and fall.
   duration rise = milliseconds(200);
   duration fall = seconds(5);
@@ -63,13 +66,16 @@
   void observe(const class_name& name, work_kind kind, duration held,
                time_point now);
 
-  /// True when work of `kind` may take one more of `limit` slots.
+  /// True when work of `kind` may take one more of `limit` slots. Long and
+  /// internal work can always get one slot in time, however high the demand of
+  /// callers is.
   [[nodiscard]] auto may_start(work_kind kind, int limit,
                                const kind_counts& running,
-                               const kind_counts& waiting) const -> bool;
+                               const kind_counts& waiting, time_point now) const
+      -> bool;
 
-  /// Slots of `limit` that `kind` may always hold.
-  [[nodiscard]] auto share(work_kind kind, int limit) const -> int;
+  /// Slots that long work may hold of `limit`, at least 1.
+  [[nodiscard]] auto long_share(int limit) const -> int;
 
   /// Mean time in the slot of the kind; 0 before the first completion.
   [[nodiscard]] auto mean_held(work_kind kind) const -> duration;
@@ -88,14 +94,16 @@
 
   void classify();
   void update(time_point now);
-  [[nodiscard]] auto may_borrow(work_kind kind, int free) const -> bool;
+  [[nodiscard]] auto left_for_long(int limit) const -> int;
+  [[nodiscard]] auto owes_long(int limit, const kind_counts& running,
+                               time_point now) const -> bool;
   [[nodiscard]] auto demand(work_kind kind) const -> double;
-  [[nodiscard]] auto guaranteed(int limit) const -> int;
 
   split_options options_;
   std::unordered_map<class_name, class_time> classes_;
   std::array<kind_demand, work_kinds> demand_;
   time_point updated_;
+  time_point long_ended_{-1e18};
   int since_classified_ = 0;
 };
 
--- a/src/decisions/run_queue.cc
+++ b/src/decisions/run_queue.cc
@@ -104,7 +104,7 @@
     return expected_wait(x.call.importance, now);
   }
   const auto ahead = sum_up_to(long_ms_, x.call.importance);
-  return milliseconds(ahead / split_.share(x.kind, limit(now)));
+  return milliseconds(ahead / split_.long_share(limit(now)));
 }
 
 auto run_queue::expected_wait(int importance, time_point now) const
@@ -113,7 +113,7 @@
 }
 
 auto run_queue::may_start(work_kind kind, time_point now) const -> bool {
-  return split_.may_start(kind, limit(now), running_, queued_);
+  return split_.may_start(kind, limit(now), running_, queued_, now);
 }
 
 auto run_queue::is_full(double more_ms, time_point now) const -> bool {
--- a/src/decisions/slot_split.cc
+++ b/src/decisions/slot_split.cc
@@ -64,6 +64,7 @@
   const auto [found, is_new] = classes_.try_emplace(name);
   found->second.held.observe(held, now);
   demand_[index(kind)].held.observe(held, now);
+  if (kind == work_kind::long_running) long_ended_ = now;
   since_classified_ += 1;
   if (is_new || since_classified_ >= classify_every) classify();
 }
@@ -93,46 +94,45 @@
   return x.per_ms * x.held.last_mean().ms;
 }
 
-auto slot_split::guaranteed(int limit) const -> int {
-  return std::max(1, static_cast<int>(limit * options_.guaranteed.value));
+auto slot_split::left_for_long(int limit) const -> int {
+  const auto short_work =
+      demand(work_kind::caller_facing) + demand(work_kind::internal);
+  // One slot stays free even without short demand: the first short call after
+  // a quiet time would otherwise wait for a whole long one.
+  const auto kept =
+      std::max(1.0, short_work + options_.headroom * std::sqrt(short_work));
+  return limit - static_cast<int>(std::ceil(kept));
 }
 
-auto slot_split::share(work_kind kind, int limit) const -> int {
-  const auto callers = demand(work_kind::caller_facing);
-  auto kept = 0.0;
-  if (kind == work_kind::internal) kept = callers;
-  if (kind == work_kind::long_running) {
-    const auto short_work = callers + demand(work_kind::internal);
-    // One slot stays free even without short demand: the first short call
-    // after a quiet time would otherwise wait for a whole long one.
-    kept =
-        std::max(1.0, short_work + options_.headroom * std::sqrt(short_work));
-  }
-  const auto left = limit - static_cast<int>(std::ceil(kept));
-  return std::clamp(left, std::min(guaranteed(limit), limit), limit);
+auto slot_split::long_share(int limit) const -> int {
+  return std::max(1, left_for_long(limit));
 }
 
-auto slot_split::may_borrow(work_kind kind, int free) const -> bool {
-  // Internal calls give a slot back soon, so they may use what callers leave
-  // free, less the headroom; long work may not.
-  if (kind != work_kind::internal) return false;
-  const auto callers = demand(work_kind::caller_facing);
-  return free > std::ceil(options_.internal_headroom * std::sqrt(callers));
+auto slot_split::owes_long(int limit, const kind_counts& running,
+                           time_point now) const -> bool {
+  if (running[index(work_kind::long_running)] > 0) return false;
+  if (left_for_long(limit) > 0) return true;
+  const auto pause = mean_held(work_kind::long_running) * options_.long_pause;
+  return now - long_ended_ >= pause;
 }
 
 auto slot_split::may_start(work_kind kind, int limit,
                            const kind_counts& running,
-                           const kind_counts& waiting) const -> bool {
-  auto free = limit - sum(running);
+                           const kind_counts& waiting, time_point now) const
+    -> bool {
+  const auto own = running[index(kind)];
+  const auto free = limit - sum(running);
   if (free <= 0) return false;
-  const auto entitled = running[index(kind)] < share(kind, limit);
-  if (!entitled && !may_borrow(kind, free)) return false;
-  const auto long_work = index(work_kind::long_running);
-  if (kind == work_kind::long_running || waiting[long_work] == 0) return true;
-  // Waiting long work gets its guaranteed slots first, but never the last one.
-  const auto owed = guaranteed(limit) - running[long_work];
-  if (limit > 1) free -= std::max(owed, 0);
-  return free > 0;
+  if (kind == work_kind::long_running) {
+    return own < left_for_long(limit) || owes_long(limit, running, now);
+  }
+  const auto long_waits = waiting[index(work_kind::long_running)] > 0;
+  if (free == 1 && long_waits && limit > 1 && owes_long(limit, running, now)) {
+    return false;
+  }
+  if (kind == work_kind::caller_facing || own == 0) return true;
+  const auto callers = demand(work_kind::caller_facing);
+  return free > std::ceil(options_.internal_headroom * std::sqrt(callers));
 }
 
 auto slot_split::mean_held(work_kind kind) const -> duration {
