Keep 3.5 square roots of short demand free of long work

Cause: beside uploads on 85 slots with 85% lookups the p99 wait was 1.52 times the wait alone, target 1.5. Change: headroom 3 to 3.5.

--- a/include/figwind/slot_split.h
+++ b/include/figwind/slot_split.h
@@ -33,7 +33,7 @@
   double long_ratio = 8;
   /// Slots beyond the mean demand that are kept for short work, in square
   /// roots of that demand (square-root staffing, Halfin and Whitt 1981).
-  double headroom = 3;
+  double headroom = 3.5;
   /// Free slots that internal work must leave to callers, in square roots of
   /// the callers' demand (trunk reservation). Less is enough than against long
   /// work because internal calls give their slots back soon.
