Count an unobserved class as short until a call has run long

Cause: at the cold start of a server, important classes without a completion counted as long, waited for the one long slot and were refused for their deadline while others ran.

--- a/include/figwind/slot_split.h
+++ b/include/figwind/slot_split.h
@@ -55,9 +55,13 @@
  public:
   explicit slot_split(const split_options& options, time_point now = {});
 
-  /// Kind of a call. Beside observed classes, one without observed service
-  /// time counts as long until its first completion.
-  [[nodiscard]] auto kind_of(const call_context& call) const -> work_kind;
+  /// Kind of a call. A class without a completion counts as short until its
+  /// first call has run many times as long as short work.
+  [[nodiscard]] auto kind_of(const call_context& call, time_point now) const
+      -> work_kind;
+
+  /// Notes that a call of the class has started.
+  void started(const class_name& name, time_point now);
 
   /// Counts an admitted arrival; demand is arrivals times time in the slot.
   void count_arrival(const call_context& call, work_kind kind, time_point now);
@@ -83,6 +87,7 @@
  private:
   struct class_time {
     time_estimate held;
+    time_point first_start;
     bool is_long = false;
   };
 
@@ -92,6 +97,7 @@
     time_estimate held;
   };
 
+  [[nodiscard]] auto is_long(const class_time& x, time_point now) const -> bool;
   void classify();
   void update(time_point now);
   [[nodiscard]] auto left_for_long(int limit) const -> int;
--- a/src/decisions/run_queue.cc
+++ b/src/decisions/run_queue.cc
@@ -71,7 +71,7 @@
   x.call = call;
   x.deadline = now + call.time_left;
   x.level = level_at_depth(call, options_.threshold.depth_margin);
-  x.kind = split_.kind_of(call);
+  x.kind = split_.kind_of(call, now);
   x.latest_start_ms = x.deadline.ms - least_time(call.name, now).ms;
   const auto found = held_.find(call.name);
   const auto& held = found == held_.end() ? all_held_ : found->second;
@@ -125,6 +125,7 @@
   x.running = true;
   x.started = now;
   running_[index(x.kind)] += 1;
+  split_.started(x.call.name, now);
 }
 
 auto run_queue::key_of(std::uint64_t ticket, const entry& x) -> order_key {
--- a/src/decisions/slot_split.cc
+++ b/src/decisions/slot_split.cc
@@ -28,11 +28,23 @@
 slot_split::slot_split(const split_options& options, time_point now)
     : options_{options}, updated_{now} {}
 
-auto slot_split::kind_of(const call_context& call) const -> work_kind {
+auto slot_split::is_long(const class_time& x, time_point now) const -> bool {
+  if (!x.held.empty()) return x.is_long;
+  const auto usual = mean_held(work_kind::caller_facing);
+  if (usual.ms <= 0) return false;
+  return (now - x.first_start) / usual >= options_.long_ratio;
+}
+
+void slot_split::started(const class_name& name, time_point now) {
+  classes_.try_emplace(name, class_time{time_estimate{}, now, false});
+}
+
+auto slot_split::kind_of(const call_context& call, time_point now) const
+    -> work_kind {
   const auto found = classes_.find(call.name);
-  const auto is_long =
-      found == classes_.end() ? !classes_.empty() : found->second.is_long;
-  if (is_long) return work_kind::long_running;
+  if (found != classes_.end() && is_long(found->second, now)) {
+    return work_kind::long_running;
+  }
   // Calls with a key are not lookups: confining them would refuse important
   // work while less important lookups of callers run.
   if (call.depth > 0 && call.key.value.empty()) return work_kind::internal;
@@ -61,8 +73,9 @@
 
 void slot_split::observe(const class_name& name, work_kind kind, duration held,
                          time_point now) {
-  const auto [found, is_new] = classes_.try_emplace(name);
-  found->second.held.observe(held, now);
+  auto& x = classes_[name];
+  const auto is_new = x.held.empty();
+  x.held.observe(held, now);
   demand_[index(kind)].held.observe(held, now);
   if (kind == work_kind::long_running) long_ended_ = now;
   since_classified_ += 1;
@@ -73,7 +86,7 @@
   since_classified_ = 0;
   auto means = std::vector<double>{};
   for (const auto& [name, x] : classes_) {
-    means.push_back(x.held.last_mean().ms);
+    if (!x.held.empty()) means.push_back(x.held.last_mean().ms);
   }
   std::sort(means.begin(), means.end());
   auto widest = options_.long_ratio;
