--- a/include/figwind/limiter.h
+++ b/include/figwind/limiter.h
@@ -32,7 +32,7 @@
   int samples = 200;
   /// Time for which a refuted change is not tried again.
   duration hold = seconds(2);
-  /// Time constant with which the baseline follows a lasting slowdown.
+  /// Time constant with which a baseline follows a lasting slowdown.
   duration baseline_drift = seconds(60);
 };
 
@@ -60,7 +60,8 @@
   struct baseline {
     double ms = 0;
     int samples = 0;
-    time_point last;
+    int epoch_count = 0;
+    double epoch_ms = 0;
   };
 
   struct judgement {
@@ -68,8 +69,8 @@
     double slowdown = 0;
   };
 
-  auto relative_time(const class_name& name, double ms, time_point now)
-      -> double;
+  auto relative_time(const class_name& name, double ms) -> double;
+  void move_baselines(duration elapsed);
   void judge(time_point now);
   auto undo(const judgement& seen, time_point now) -> bool;
   void lower(const judgement& seen);
--- a/src/decisions/limiter.cc
+++ b/src/decisions/limiter.cc
@@ -10,8 +10,10 @@
 // Completions of a class after which its baseline is trusted.
 constexpr auto baseline_samples = 20;
 
-// Weight of one sample in the baseline while the server is not slow.
-constexpr auto baseline_weight = 0.02;
+// Weight of a completion in a baseline that falls, and their most in one
+// judgement.
+constexpr auto fall_weight = 0.01;
+constexpr auto most_fall = 0.1;
 
 // A limit is judged only while at least this share of it is in use; otherwise
 // the number of running calls cannot be what slows the server.
@@ -59,28 +61,35 @@
   limit_ = slots_;
 }
 
-auto limiter::relative_time(const class_name& name, double ms, time_point now)
-    -> double {
+auto limiter::relative_time(const class_name& name, double ms) -> double {
   auto& x = baselines_[name];
-  const auto idle = now - x.last;
-  x.last = now;
   if (x.samples < baseline_samples) {
     x.samples += 1;
     x.ms += (ms - x.ms) / x.samples;
     return 1;
   }
-  const auto relative = x.ms > 0 ? ms / x.ms : 1;
-  auto weight = baseline_weight;
-  if (slowdown_ > options_.tolerance) {
-    weight = std::min(1.0, idle / options_.baseline_drift);
+  x.epoch_count += 1;
+  x.epoch_ms += ms;
+  return x.ms > 0 ? ms / x.ms : 1;
+}
+
+// A baseline falls at once but rises over minutes: were it to rise within a
+// judgement, it would take a slowdown for the usual time.
+void limiter::move_baselines(duration elapsed) {
+  const auto rise = std::min(1.0, elapsed / options_.baseline_drift);
+  for (auto& [name, x] : baselines_) {
+    if (x.epoch_count == 0) continue;
+    const auto mean = x.epoch_ms / x.epoch_count;
+    const auto fall = std::min(most_fall, fall_weight * x.epoch_count);
+    x.ms += (mean < x.ms ? fall : rise) * (mean - x.ms);
+    x.epoch_count = 0;
+    x.epoch_ms = 0;
   }
-  x.ms += weight * (ms - x.ms);
-  return relative;
 }
 
 void limiter::observe(const class_name& name, duration own_time, int in_flight,
                       time_point now) {
-  const auto relative = relative_time(name, own_time.ms, now);
+  const auto relative = relative_time(name, own_time.ms);
   completions_ += 1;
   relative_sum_ += relative;
   in_flight_sum_ += in_flight;
@@ -98,6 +107,7 @@
   };
   const auto binding =
       in_flight_sum_ / completions_ >= binding_share * limit(now);
+  move_baselines(now - epoch_);
   slowdown_ = seen.slowdown;
   epoch_ = now;
   completions_ = 0;
--- /dev/null
+++ b/test/admission-test.cc
@@ -0,0 +1,163 @@
+#include "figwind/admission.h"
+
+#include <gtest/gtest.h>
+
+#include "figwind/random.h"
+#include "section.h"
+
+using namespace figwind;
+using figwind::test::section;
+
+namespace {
+
+auto call_of(int importance, std::uint64_t number, int depth = 0)
+    -> call_context {
+  auto call = call_context{};
+  call.id = {number, number * 7919};
+  call.name = {"class-" + std::to_string(importance)};
+  call.importance = importance;
+  call.depth = depth;
+  call.time_left = seconds(1);
+  return call;
+}
+
+// A queue of 10 slots at which each call holds a slot for 10 ms, so that it
+// completes one call per millisecond.
+struct demand {
+  threshold_control control{threshold_options{}};
+  random_source random{5};
+  time_point now;
+  double waiting = 0;
+
+  // Offers the ranks in `per_ms` for `length`; callers know the threshold.
+  void offer(const std::vector<std::pair<int, double>>& per_ms,
+             duration length) {
+    const auto end = now + length;
+    for (; now < end; now = now + milliseconds(1)) {
+      for (const auto& [rank, rate] : per_ms) offer_one(rank, rate);
+      waiting = std::max(0.0, waiting - 1);
+      if (control.due(now))
+        control.update({10, milliseconds(waiting * 10)}, now);
+    }
+  }
+
+  void offer_one(int rank, double rate) {
+    for (; rate > 0; rate -= 1) {
+      if (!random.chance(std::min(rate, 1.0))) continue;
+      const auto call = call_of(rank, random.bits());
+      if (!control.admits(call)) continue;
+      control.count_arrival(level_of(call), milliseconds(10));
+      waiting = std::min(waiting + 1, 60.0);
+    }
+  }
+
+  [[nodiscard]] auto rank() const -> std::uint64_t {
+    return control.threshold().value >> 16U;
+  }
+};
+
+auto report(const std::string& service, const std::string& reporter,
+            const call_context& highest) -> threshold_report {
+  return {{service}, {reporter}, level_of(highest)};
+}
+
+}  // namespace
+
+// Guards against hops that shed different requests of the same class.
+TEST(admission_level, orders_by_importance_then_by_request) {
+  EXPECT_EQ(level_of(call_of(3, 1, 0)), level_of(call_of(3, 1, 5)));
+  EXPECT_NE(level_of(call_of(3, 1)), level_of(call_of(3, 2)));
+  for (auto i = std::uint64_t{0}; i < 200; ++i) {
+    EXPECT_LT(level_of(call_of(1, i)), level_of(call_of(2, i + 1)));
+    section("a deep call is preferred within its own importance only", [&] {
+      const auto deep = level_at_depth(call_of(2, i, 3), fraction{0.3});
+      EXPECT_LE(deep, level_of(call_of(2, i)));
+      EXPECT_GT(deep, last_of_rank(level_of(call_of(1, i))));
+    });
+  }
+}
+
+// Guards against refusing important work while less important work is let in,
+// and against a threshold that stays closed or opens too far.
+TEST(threshold_control, follows_demand_and_capacity) {
+  auto queue = demand{};
+  section("given demand below capacity nothing is refused", [&] {
+    queue.offer({{1, 0.3}, {2, 0.4}}, seconds(3));
+    EXPECT_EQ(queue.control.threshold(), open_threshold);
+  });
+  section("given 4 times the capacity the cut falls into the right class", [&] {
+    queue.offer({{1, 0.5}, {2, 1.5}, {3, 2}}, seconds(3));
+    EXPECT_EQ(queue.rank(), 2U);
+    const auto share =
+        static_cast<double>(queue.control.threshold().value & 0xffffU) / 65536;
+    EXPECT_NEAR(share, 0.5 / 1.5, 0.15);
+  });
+  section("given that important work alone exceeds capacity", [&] {
+    queue.offer({{1, 2}, {2, 2}}, seconds(3));
+    EXPECT_EQ(queue.rank(), 1U);
+  });
+  section("when the pressure ends it opens by itself within a second", [&] {
+    queue.offer({{1, 0.2}, {2, 0.2}, {3, 0.2}}, seconds(1));
+    EXPECT_EQ(queue.control.threshold(), open_threshold);
+  });
+}
+
+// Guards against an entry node that sheds for services which the class does
+// not use, misses the strictest one, or keeps outdated thresholds.
+TEST(entry_gate, applies_the_strictest_threshold_of_the_chain) {
+  auto gate = entry_gate{};
+  const auto now = time_point{1000};
+  const auto low = call_of(2, 4);
+  const auto lookup = call_of(3, 4);
+  gate.observe(lookup.name, {report("depozit", "a", call_of(9, 1))}, now);
+  EXPECT_EQ(gate.decide(lookup, now), refusal::none);
+  section("a service of another class does not count", [&] {
+    gate.observe({"other"}, {report("documente", "b", low)}, now);
+    EXPECT_EQ(gate.decide(lookup, now), refusal::none);
+  });
+  section("a deep service of its own chain does", [&] {
+    gate.observe(lookup.name, {report("contracte", "c", low)}, now);
+    EXPECT_EQ(gate.decide(lookup, now + milliseconds(10)), refusal::overload);
+    auto important = call_of(1, 5);
+    important.name = lookup.name;
+    EXPECT_EQ(gate.decide(important, now + milliseconds(10)), refusal::none);
+  });
+  section("until the report expires", [&] {
+    EXPECT_EQ(gate.decide(lookup, now + seconds(1.1)), refusal::none);
+  });
+}
+
+// Guards against one straggling server that closes a whole service.
+TEST(entry_gate, takes_the_middle_of_the_servers_of_a_service) {
+  auto gate = entry_gate{};
+  const auto call = call_of(3, 4);
+  const auto now = time_point{1000};
+  gate.observe(call.name,
+               {report("depozit", "a", call_of(1, 1)),
+                report("depozit", "b", call_of(8, 1)),
+                report("depozit", "c", call_of(9, 1))},
+               now);
+  EXPECT_EQ(gate.decide(call, now), refusal::none);
+  section("what it passes on is that same view", [&] {
+    const auto relayed = gate.relay({{"depozit"}}, {"self"}, now);
+    ASSERT_EQ(relayed.size(), 1U);
+    EXPECT_EQ(relayed[0].threshold, level_of(call_of(8, 1)));
+    EXPECT_EQ(relayed[0].reporter.value, "self");
+  });
+}
+
+// Guards against running a chain that cannot end in time, and against an
+// estimate that keeps refusing after the slowness has ended.
+TEST(entry_gate, refuses_what_cannot_finish_in_time) {
+  auto gate = entry_gate{};
+  auto call = call_of(1, 1);
+  call.time_left = milliseconds(100);
+  auto now = time_point{1000};
+  EXPECT_EQ(gate.decide(call, now), refusal::none);
+  for (auto i = 0; i < 50; ++i) {
+    gate.observe_time(call.name, milliseconds(300), now);
+  }
+  EXPECT_EQ(gate.decide(call, now), refusal::deadline);
+  now = now + seconds(4);
+  EXPECT_EQ(gate.decide(call, now), refusal::none);
+}
--- /dev/null
+++ b/test/slot-split-test.cc
@@ -0,0 +1,128 @@
+#include "figwind/slot_split.h"
+
+#include <gtest/gtest.h>
+
+#include "section.h"
+
+using namespace figwind;
+using figwind::test::section;
+
+namespace {
+
+constexpr auto limit = 20;
+
+auto call_of(const std::string& name, int depth = 0,
+             const std::string& key = "") -> call_context {
+  auto call = call_context{};
+  call.name = {name};
+  call.depth = depth;
+  call.key = {key};
+  return call;
+}
+
+// Runs lookups that need `slots` slots on average for `length`.
+void offer_lookups(slot_split& split, time_point& now, double slots,
+                   duration length) {
+  const auto lookup = call_of("lookup");
+  const auto end = now + length;
+  while (now < end) {
+    now = now + milliseconds(5 / slots);
+    split.count_arrival(lookup, split.kind_of(lookup, now), now);
+    split.observe(lookup.name, work_kind::caller_facing, milliseconds(5), now);
+  }
+}
+
+auto known_split(time_point now) -> slot_split {
+  auto split = slot_split{split_options{}};
+  const auto kind = work_kind::caller_facing;
+  split.observe({"lookup"}, kind, milliseconds(5), now);
+  split.observe({"confirmation"}, kind, milliseconds(20), now);
+  split.observe({"upload"}, work_kind::long_running, milliseconds(500), now);
+  return split;
+}
+
+}  // namespace
+
+// Guards against classes in the wrong group, which would wait for slots that
+// are not theirs or take slots from short work.
+TEST(slot_split, tells_kinds_apart_by_observed_time) {
+  const auto now = time_point{1000};
+  auto split = known_split(now);
+  struct row {
+    call_context call;
+    work_kind kind;
+  };
+  for (const auto& x : {
+           row{call_of("lookup"), work_kind::caller_facing},
+           row{call_of("lookup", 2), work_kind::internal},
+           row{call_of("confirmation", 2, "key"), work_kind::caller_facing},
+           row{call_of("upload"), work_kind::long_running},
+           row{call_of("upload", 2), work_kind::long_running},
+           row{call_of("new"), work_kind::caller_facing},
+       }) {
+    EXPECT_EQ(split.kind_of(x.call, now), x.kind) << x.call.name.value;
+  }
+  section("a new class that keeps running becomes long", [&] {
+    split.started({"new"}, now);
+    const auto later = now + seconds(1);
+    EXPECT_EQ(split.kind_of(call_of("new"), later), work_kind::long_running);
+  });
+}
+
+// Guards against long work that fills the server while short work comes, and
+// against slots that stay idle when none comes.
+TEST(slot_split, long_work_follows_short_demand) {
+  auto now = time_point{1000};
+  auto split = known_split(now);
+  section("without short demand long work may have all slots but one",
+          [&] { EXPECT_EQ(split.long_share(limit), limit - 1); });
+  section("with a demand of 4 slots, 4 and the headroom are kept", [&] {
+    offer_lookups(split, now, 4, seconds(3));
+    EXPECT_LE(split.long_share(limit), limit - 4 - 7);
+    EXPECT_GE(split.long_share(limit), limit - 4 - 10);
+  });
+  section("when short demand ends the slots come back", [&] {
+    now = now + seconds(20);
+    offer_lookups(split, now, 0.1, seconds(1));
+    EXPECT_GE(split.long_share(limit), limit - 4);
+  });
+}
+
+// Guards against starving long and internal work under any short demand, and
+// against long work that never pauses in its guaranteed slot.
+TEST(slot_split, guarantees_one_slot_in_time) {
+  auto now = time_point{1000};
+  auto split = known_split(now);
+  offer_lookups(split, now, 40, seconds(2));
+  const auto may = [&](work_kind kind, const kind_counts& running) {
+    return split.may_start(kind, limit, running, {5, 1, 1}, now);
+  };
+  EXPECT_TRUE(may(work_kind::long_running, {limit - 1, 0, 0}));
+  EXPECT_FALSE(may(work_kind::caller_facing, {limit - 1, 0, 0}));
+  EXPECT_TRUE(may(work_kind::internal, {limit - 2, 0, 0}));
+  EXPECT_FALSE(may(work_kind::long_running, {limit - 2, 0, 1}));
+  section("after a long call short work has the slot for as long", [&] {
+    const auto kind = work_kind::long_running;
+    split.observe({"upload"}, kind, milliseconds(500), now);
+    EXPECT_FALSE(may(kind, {limit - 1, 0, 0}));
+    EXPECT_TRUE(may(work_kind::caller_facing, {limit - 1, 0, 0}));
+    now = now + milliseconds(500);
+    EXPECT_TRUE(may(kind, {limit - 1, 0, 0}));
+  });
+}
+
+// Guards against calls between services that fill the server in front of the
+// lookups of callers.
+TEST(slot_split, internal_calls_leave_free_slots_to_callers) {
+  auto now = time_point{1000};
+  auto split = known_split(now);
+  const auto may = [&](int internal) {
+    return split.may_start(work_kind::internal, limit, {4, internal, 0},
+                           {0, 1, 0}, now);
+  };
+  EXPECT_TRUE(may(limit - 5));
+  offer_lookups(split, now, 4, seconds(3));
+  EXPECT_FALSE(may(limit - 5));
+  EXPECT_FALSE(may(limit - 6));
+  EXPECT_TRUE(may(limit - 9));
+}
