Order queued calls by a tuple

Cause: clang-tidy 14 reports a defaulted operator<=> as modernize-use-nullptr. Change: the order of queued calls is a tuple; no check is switched off.

--- a/include/figwind/run_queue.h
+++ b/include/figwind/run_queue.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <map>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -130,14 +131,8 @@
   void set_slots(int slots);
 
  private:
-  struct order_key {
-    int importance = 0;
-    int shallowness = 0;
-    double deadline_ms = 0;
-    std::uint64_t ticket = 0;
-
-    friend auto operator<=>(const order_key&, const order_key&) = default;
-  };
+  // Importance, hops below the deepest, deadline in ms, ticket.
+  using order_key = std::tuple<int, int, double, std::uint64_t>;
 
   struct entry {
     call_context call;
--- a/src/decisions/run_queue.cc
+++ b/src/decisions/run_queue.cc
@@ -232,7 +232,7 @@
     if (first != nullptr && *first < candidate) continue;
     if (may_start(static_cast<work_kind>(i), now)) first = &candidate;
   }
-  return first == nullptr ? 0 : first->ticket;
+  return first == nullptr ? 0 : std::get<3>(*first);
 }
 
 void run_queue::drop_stale(time_point now) {
