--- a/include/figwind/limiter.h
+++ b/include/figwind/limiter.h
@@ -29,10 +29,10 @@
   /// Shortest time between two changes.
   duration period = milliseconds(100);
   /// Completions that one judgement needs.
-  int samples = 100;
+  int samples = 200;
   /// Time for which a refuted change is not tried again.
   duration hold = seconds(2);
-  /// Time constant with which the baseline follows a lasting slowdown.
+  /// Time constant with which a baseline follows a lasting slowdown.
   duration baseline_drift = seconds(60);
 };
 
@@ -60,17 +60,17 @@
   struct baseline {
     double ms = 0;
     int samples = 0;
-    time_point last;
+    int epoch_count = 0;
+    double epoch_ms = 0;
   };
 
   struct judgement {
     double limit = 0;
     double slowdown = 0;
-    double throughput = 0;
   };
 
-  auto relative_time(const class_name& name, double ms, time_point now)
-      -> double;
+  auto relative_time(const class_name& name, double ms) -> double;
+  void move_baselines(duration elapsed);
   void judge(time_point now);
   auto undo(const judgement& seen, time_point now) -> bool;
   void lower(const judgement& seen);
@@ -86,7 +86,6 @@
   time_point epoch_;
   int completions_ = 0;
   double relative_sum_ = 0;
-  double work_sum_ = 0;
   double in_flight_sum_ = 0;
 
   double slowdown_ = 1;
--- a/src/decisions/limiter.cc
+++ b/src/decisions/limiter.cc
@@ -10,8 +10,10 @@
 // Completions of a class after which its baseline is trusted.
 constexpr auto baseline_samples = 20;
 
-// Weight of one sample in the baseline while the server is not slow.
-constexpr auto baseline_weight = 0.02;
+// Weight of a completion in a baseline that falls, and their most in one
+// judgement.
+constexpr auto fall_weight = 0.01;
+constexpr auto most_fall = 0.1;
 
 // A limit is judged only while at least this share of it is in use; otherwise
 // the number of running calls cannot be what slows the server.
@@ -59,31 +61,37 @@
   limit_ = slots_;
 }
 
-auto limiter::relative_time(const class_name& name, double ms, time_point now)
-    -> double {
+auto limiter::relative_time(const class_name& name, double ms) -> double {
   auto& x = baselines_[name];
-  const auto idle = now - x.last;
-  x.last = now;
   if (x.samples < baseline_samples) {
     x.samples += 1;
     x.ms += (ms - x.ms) / x.samples;
     return 1;
   }
-  const auto relative = x.ms > 0 ? ms / x.ms : 1;
-  auto weight = baseline_weight;
-  if (slowdown_ > options_.tolerance) {
-    weight = std::min(1.0, idle / options_.baseline_drift);
+  x.epoch_count += 1;
+  x.epoch_ms += ms;
+  return x.ms > 0 ? ms / x.ms : 1;
+}
+
+// A baseline falls at once but rises over minutes: were it to rise within a
+// judgement, it would take a slowdown for the usual time.
+void limiter::move_baselines(duration elapsed) {
+  const auto rise = std::min(1.0, elapsed / options_.baseline_drift);
+  for (auto& [name, x] : baselines_) {
+    if (x.epoch_count == 0) continue;
+    const auto mean = x.epoch_ms / x.epoch_count;
+    const auto fall = std::min(most_fall, fall_weight * x.epoch_count);
+    x.ms += (mean < x.ms ? fall : rise) * (mean - x.ms);
+    x.epoch_count = 0;
+    x.epoch_ms = 0;
   }
-  x.ms += weight * (ms - x.ms);
-  return relative;
 }
 
 void limiter::observe(const class_name& name, duration own_time, int in_flight,
                       time_point now) {
-  const auto relative = relative_time(name, own_time.ms, now);
+  const auto relative = relative_time(name, own_time.ms);
   completions_ += 1;
   relative_sum_ += relative;
-  work_sum_ += baselines_[name].ms;
   in_flight_sum_ += in_flight;
   const auto age = now - epoch_;
   const auto enough =
@@ -96,15 +104,14 @@
   const auto seen = judgement{
       limit_,
       relative_sum_ / completions_,
-      work_sum_ / (now - epoch_).ms,
   };
   const auto binding =
       in_flight_sum_ / completions_ >= binding_share * limit(now);
+  move_baselines(now - epoch_);
   slowdown_ = seen.slowdown;
   epoch_ = now;
   completions_ = 0;
   relative_sum_ = 0;
-  work_sum_ = 0;
   in_flight_sum_ = 0;
   if (binding && undo(seen, now)) return;
   last_change_ = 0;
@@ -117,15 +124,14 @@
 
 auto limiter::undo(const judgement& seen, time_point now) -> bool {
   if (last_change_ == 0) return false;
+  // By Little's law throughput is running calls over service time, so a change
+  // of the limit is lost throughput as far as service time does not follow it
+  // down, and gained throughput as far as it does not follow it up.
   const auto step = seen.limit / before_.limit - 1;
-  const auto throughput_step = seen.throughput / before_.throughput - 1;
-  const auto slowdown_step = seen.slowdown / before_.slowdown - 1;
-  // A cut is refuted when throughput paid for it and service time did not
-  // follow, a raise when service time grew with it and throughput did not; with
-  // the sign of the step both are the same comparison.
-  const auto refuted = throughput_step < least_effect * step &&
-                       slowdown_step > least_effect * step;
-  if (!refuted) return false;
+  const auto followed = seen.slowdown / before_.slowdown - 1;
+  if (followed <= least_effect * step) return false;
+  // Close to the baseline the difference is within the noise of the samples.
+  if (step > 0 && seen.slowdown < std::sqrt(options_.tolerance)) return false;
   limit_ = before_.limit;
   last_change_ = 0;
   held_until_ = now + hold_;
--- a/src/decisions/run_queue.cc
+++ b/src/decisions/run_queue.cc
@@ -71,19 +71,20 @@
   x.call = call;
   x.deadline = now + call.time_left;
   x.level = level_at_depth(call, options_.threshold.depth_margin);
-  x.kind = split_.kind_of(call);
+  x.kind = split_.kind_of(call, now);
+  x.latest_start_ms = x.deadline.ms - least_time(call.name, now).ms;
   const auto found = held_.find(call.name);
-  if (found != held_.end()) {
-    x.held_ms = found->second.last_mean().ms;
-    x.latest_start_ms = x.deadline.ms - found->second.least(now).ms;
-    return x;
-  }
-  const auto& all = all_held_;
-  x.held_ms = all.empty() ? unknown_held_ms : all.last_mean().ms;
-  x.latest_start_ms = x.deadline.ms;
+  const auto& held = found == held_.end() ? all_held_ : found->second;
+  x.held_ms = held.empty() ? unknown_held_ms : held.last_mean().ms;
   return x;
 }
 
+auto run_queue::least_time(const class_name& name, time_point now) const
+    -> duration {
+  const auto found = held_.find(name);
+  return found == held_.end() ? duration{} : found->second.least(now);
+}
+
 auto run_queue::refusal_of(const call_context& call, const entry& x,
                            time_point now) const -> refusal {
   if (!threshold_.admits(call)) return refusal::overload;
@@ -103,7 +104,7 @@
     return expected_wait(x.call.importance, now);
   }
   const auto ahead = sum_up_to(long_ms_, x.call.importance);
-  return milliseconds(ahead / split_.share(x.kind, limit(now)));
+  return milliseconds(ahead / split_.long_share(limit(now)));
 }
 
 auto run_queue::expected_wait(int importance, time_point now) const
@@ -112,7 +113,7 @@
 }
 
 auto run_queue::may_start(work_kind kind, time_point now) const -> bool {
-  return split_.may_start(kind, limit(now), running_, queued_);
+  return split_.may_start(kind, limit(now), running_, queued_, now);
 }
 
 auto run_queue::is_full(double more_ms, time_point now) const -> bool {
@@ -124,6 +125,7 @@
   x.running = true;
   x.started = now;
   running_[index(x.kind)] += 1;
+  split_.started(x.call.name, now);
 }
 
 auto run_queue::key_of(std::uint64_t ticket, const entry& x) -> order_key {
@@ -230,7 +232,7 @@
     if (first != nullptr && *first < candidate) continue;
     if (may_start(static_cast<work_kind>(i), now)) first = &candidate;
   }
-  return first == nullptr ? 0 : first->ticket;
+  return first == nullptr ? 0 : std::get<3>(*first);
 }
 
 void run_queue::drop_stale(time_point now) {
