--- a/include/figwind/consensus.h
+++ b/include/figwind/consensus.h
@@ -37,6 +37,10 @@
   /// A follower starts an election after a random wait between the two.
   duration election_min = milliseconds(250);
   duration election_max = milliseconds(500);
+  /// A candidate that did not win tries again after a shorter random wait: two
+  /// candidates that split the votes have no leader whose heartbeat is late.
+  duration split_min = milliseconds(60);
+  duration split_max = milliseconds(250);
   /// After a restart all other voters are asked about this disk; after this
   /// time the answers of a majority suffice.
   duration disk_check = seconds(1);
@@ -340,6 +344,7 @@
   std::map<member_id, identity_request> new_members_;
   std::set<member_id> confirmed_by_;
   std::set<log_index> pending_;
+  int progress_rounds_ = 0;
   std::optional<incoming_snapshot> incoming_;
 
   std::uint64_t issued_ = 0;
--- a/src/decisions/consensus_election.cc
+++ b/src/decisions/consensus_election.cc
@@ -20,7 +20,8 @@
   role_ = member_role::candidate;
   votes_.clear();
   request_votes(false, state_.term);
-  restart_election_wait();
+  auto spread = settings_.split_max - settings_.split_min;
+  election_due_ = now_ + settings_.split_min + spread * random_.unit();
 }
 
 void consensus::request_votes(bool trial, log_term election) {
@@ -76,6 +77,11 @@
     state_changed_ = true;
   }
   if (granted && !m.trial) restart_election_wait();
+  if (granted && m.trial) {
+    // Leaves the one who asked first the time to win.
+    auto due = now_ + settings_.split_min;
+    election_due_ = election_due_ < due ? due : election_due_;
+  }
   send_durable(m.header.from,
                vote_reply{header(), m.election, granted, m.trial});
 }
--- a/src/decisions/consensus_replication.cc
+++ b/src/decisions/consensus_replication.cc
@@ -9,6 +9,11 @@
 namespace figwind {
 namespace {
 
+// After an acceptance this many heartbeats tell who acknowledged what, since
+// one may be lost; while nothing changes they tell it once in the pause.
+constexpr int progress_repeats = 3;
+constexpr int progress_pause = 20;
+
 // A snapshot beyond this is refused: answers are bounded at 16 MiB.
 constexpr std::uint64_t most_snapshot_bytes = 64U << 20U;
 
@@ -31,6 +36,8 @@
   advance_members();
   if (now_ < heartbeat_due_) return;
   heartbeat_due_ = now_ + settings_.heartbeat;
+  if (progress_rounds_ == 0) progress_rounds_ = progress_pause;
+  --progress_rounds_;
   for (const auto& m : members().members) {
     if (m.id != settings_.self) send_entries(m.id, true);
   }
@@ -81,7 +88,7 @@
     request.entries.push_back(entry);
     ++f.next;
   }
-  if (heartbeat) {
+  if (heartbeat && progress_rounds_ >= progress_pause - progress_repeats) {
     request.progress.push_back(
         {settings_.self, state_.generation, durable_index_});
     for (const auto& m : members().members) {
@@ -126,6 +133,7 @@
   // Entries of earlier terms are accepted only through one of this term.
   if (index <= commit_ || term_at(index) != state_.term) return;
   commit_ = index;
+  progress_rounds_ = progress_pause;
   apply_committed();
   const auto* self = find_member(members_at(commit_), settings_.self);
   if (self == nullptr || !self->voter) become_follower(state_.term, {}, false);
--- a/test/consensus-cluster.h
+++ b/test/consensus-cluster.h
@@ -3,9 +3,8 @@
 
 #pragma once
 
-#include <gtest/gtest.h>
-
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -67,10 +66,11 @@
     p.id = id;
     p.files.emplace(*p.disk);
     auto opened = p.files->open();
-    ASSERT_TRUE(ok(opened)) << to_string(errors(opened));
+    check(ok(opened), "cannot start: " + to_string(errors(opened)));
+    if (!ok(opened)) return;
     p.store = config_store{};
     if (value(opened).snapshot) {
-      EXPECT_TRUE(p.store.restore(value(opened).snapshot->state).empty());
+      restore(p, value(opened).snapshot->state);
     }
     auto own = settings_;
     own.self = id;
@@ -142,15 +142,14 @@
     if (out.persist) store(p, *out.persist);
     if (!p.up) return;
     for (auto& o : out.send) transmit(p, o);
-    if (out.restore) {
-      EXPECT_TRUE(p.store.restore(out.restore->state).empty());
-    }
+    if (out.restore) restore(p, out.restore->state);
     for (const auto& entry : out.apply) apply(p, entry);
     for (const auto& s : out.settled) settle(p, s);
     for (const auto& n : out.news) {
       if (n.leader != p.id) continue;
       auto first = leaders_.emplace(n.term, p.id).first;
-      EXPECT_EQ(first->second, p.id) << "two leaders in term " << n.term;
+      check(first->second == p.id,
+            "two leaders in term " + std::to_string(n.term));
       ++elections;
     }
   }
@@ -203,7 +202,9 @@
   std::map<request_id, change_answer> answers;
   std::map<std::uint64_t, std::string> texts;
   std::uint64_t elections = 0;
-  std::uint64_t messages = 0;
+  /// Promises that were broken.
+  std::vector<std::string> violations;
+  std::function<void(const consensus_message&)> on_send;
   /// Entries after which a member compacts its log.
   log_index compact_after = 40;
   time_point last_settled;
@@ -254,8 +255,16 @@
     }
   }
 
+  void check(bool holds, const std::string& violation) {
+    if (!holds) violations.push_back(violation);
+  }
+
+  void restore(process& p, const std::string& state) {
+    check(p.store.restore(state).empty(), "a state cannot be restored");
+  }
+
   void transmit(process& from, outgoing& o) {
-    ++messages;
+    if (on_send) on_send(o.message);
     auto to = all_.find(o.to);
     if (to == all_.end() || to->second.group != from.group) return;
     auto shared = std::make_shared<const consensus_message>(o.message);
@@ -269,12 +278,14 @@
 
   void apply(process& p, const log_entry& entry) {
     auto first = accepted_.emplace(entry.index, entry).first;
-    EXPECT_EQ(first->second, entry) << "two values at " << entry.index;
+    check(first->second == entry,
+          "two values at " + std::to_string(entry.index));
     if (entry.kind != entry_kind::command) return;
-    EXPECT_TRUE(ok(p.store.apply(entry.bytes)));
+    check(ok(p.store.apply(entry.bytes)), "an entry cannot be applied");
     const auto& now = p.store.current();
     auto text = texts.emplace(now.version.value, now.text).first;
-    EXPECT_EQ(text->second, now.text) << "version " << now.version.value;
+    check(text->second == now.text,
+          "two texts of version " + std::to_string(now.version.value));
   }
 
   void settle(process& p, const settled_proposal& s) {
@@ -283,7 +294,7 @@
     const auto* answer = p.store.find_answer(id->second);
     if (s.accepted) {
       last_settled = now_;
-      EXPECT_NE(answer, nullptr);
+      check(answer != nullptr, "an accepted change has no answer");
       if (answer != nullptr) check_answer(id->second, *answer);
     }
     p.waiting.erase(id);
@@ -291,7 +302,8 @@
 
   void check_answer(const request_id& id, const change_answer& answer) {
     auto first = answers.emplace(id, answer).first;
-    EXPECT_EQ(first->second, answer) << "two answers to request " << id.low;
+    check(first->second == answer,
+          "two answers to request " + std::to_string(id.low));
   }
 
   random_source random_;
--- a/test/consensus-test.cc
+++ b/test/consensus-test.cc
@@ -13,6 +13,16 @@
 
 namespace {
 
+class checked_cluster : public cluster {
+ public:
+  using cluster::cluster;
+  checked_cluster(const checked_cluster&) = delete;
+  auto operator=(const checked_cluster&) -> checked_cluster& = delete;
+  ~checked_cluster() {
+    for (const auto& v : violations) ADD_FAILURE() << v;
+  }
+};
+
 auto edit(std::uint64_t number, std::uint64_t base) -> config_change {
   return {{7, number}, {base}, "op", workload_text(number), {}};
 }
@@ -44,7 +54,7 @@
 // Guards against an isolated leader that accepts, and against an election
 // that its return forces.
 TEST(consensus, an_isolated_leader_steps_down_and_returns_quietly) {
-  cluster c{3, 11};
+  checked_cluster c{3, 11};
   ASSERT_TRUE(accept(c, 1, 3));
   auto old = c.leader()->id;
   c.isolate(old);
@@ -68,7 +78,7 @@
 TEST(consensus, a_bad_disk_does_not_vote_before_it_is_admitted_again) {
   for (auto rolled_back : {false, true}) {
     section(rolled_back ? "rolled back" : "lost", [&] {
-      cluster c{3, 12};
+      checked_cluster c{3, 12};
       c.compact_after = 1000;
       ASSERT_TRUE(accept(c, 1, 2));
       ASSERT_TRUE(c.agree());
@@ -96,7 +106,7 @@
 
 // Guards against a second cluster formed by an empty disk and a late member.
 TEST(consensus, a_cluster_is_formed_only_by_all_first_members) {
-  cluster c{3, 13};
+  checked_cluster c{3, 13};
   c.crash({3});
   c.run_for(seconds(3));
   section("two of three do not form it",
@@ -119,7 +129,7 @@
 // Guards against a new member that counts before it holds what was accepted,
 // and against chunks that grow to the size of the state.
 TEST(consensus, a_member_is_replaced_through_a_large_snapshot) {
-  cluster c{4, 14};
+  checked_cluster c{4, 14};
   c.compact_after = 3;
   ASSERT_TRUE(c.await_leader());
   auto big = record_change{{9, 1}, "group", 0, std::string(400'000, 'x')};
@@ -144,7 +154,7 @@
 
 // Guards against a disk error that is taken for an acceptance.
 TEST(consensus, a_full_disk_stops_acceptance_and_a_restart_resumes) {
-  cluster c{3, 15};
+  checked_cluster c{3, 15};
   ASSERT_TRUE(accept(c, 1, 2));
   auto& full = *c.leader();
   full.disk->fail_after(0, io_status::no_space);
@@ -173,7 +183,7 @@
       c_.run_for(milliseconds(60 * random_.unit()));
       if (random_.chance(0.8)) change();
       if (random_.chance(0.12)) fault();
-      if (testing::Test::HasFailure()) return;
+      if (!c_.violations.empty()) return;
     }
     finish();
   }
@@ -293,7 +303,7 @@
   }
 
   random_source random_;
-  cluster c_;
+  checked_cluster c_;
   std::vector<config_change> sent_;
   std::uint64_t next_id_ = 20;
 };
--- a/test/fake-files.h
+++ b/test/fake-files.h
@@ -35,12 +35,13 @@
   auto truncate(const std::string& name, std::uint64_t size) -> io_status {
     if (!step()) return error_;
     names_.at(name)->bytes.resize(size);
+    names_.at(name)->appended = false;
     return io_status::done;
   }
 
   auto sync(const std::string& name) -> io_status {
     if (!step()) return error_;
-    names_.at(name)->synced = names_.at(name)->bytes;
+    names_.at(name)->sync();
     return io_status::done;
   }
 
@@ -89,6 +90,7 @@
         torn->bytes = f->synced;
       }
       torn->synced = torn->bytes;
+      torn->appended = true;
       f = torn;
     }
     synced_names_ = names_;
@@ -106,12 +108,21 @@
   /// Changes one byte of a file.
   void damage(const std::string& name, std::size_t at) {
     names_.at(name)->bytes.at(at) ^= 0x55;
+    names_.at(name)->appended = false;
   }
 
  private:
   struct file {
     std::string bytes;
     std::string synced;
+    // True while `synced` is the beginning of `bytes`.
+    bool appended = true;
+
+    void sync() {
+      if (!appended) synced.clear();
+      synced.append(bytes, synced.size());
+      appended = true;
+    }
   };
 
   auto step() -> bool {
