Follow members to new addresses; keep two processes of one id apart

Cause: VMs are replaced daily, so a member may return with another address or an empty disk, and a mistaken second process must not take its place. Change: the leader agrees on announced addresses, messages carry their address, and a second disk is admitted only while the first is silent. The schedules also roll disks back.

--- a/include/figwind/consensus.h
+++ b/include/figwind/consensus.h
@@ -86,6 +86,8 @@
 
 struct outgoing {
   member_id to;
+  /// Where `to` is now; empty when it was never heard of.
+  vm_address address;
   consensus_message message;
 };
 
@@ -196,7 +198,7 @@
   auto log_bytes() const -> std::size_t { return log_bytes_; }
   /// The membership in force here; empty before the cluster is formed.
   auto members() const -> const membership&;
-  /// Where to send to `id`; empty when it was never heard of.
+  /// Where the agreed disk of `id` is; empty when it was never heard of.
   auto address_of(member_id id) const -> vm_address;
 
  private:
@@ -214,6 +216,10 @@
     disk_generation generation;
     log_index acknowledged = 0;
   };
+  struct joining_disk {
+    disk_generation generation;
+    vm_address address;
+  };
   struct held_message {
     std::uint64_t batch = 0;
     outgoing out;
@@ -286,6 +292,7 @@
   auto propose_members(membership next) -> log_index;
   auto finish_replacement() -> bool;
   auto admit_new_disk() -> bool;
+  auto admit(member& known, const joining_disk& disk) const -> bool;
   auto promote_learner() -> bool;
   auto members_settled() const -> bool;
   void handle(const append_request& m);
@@ -339,8 +346,8 @@
   log_term durable_vote_term_ = 0;
   std::map<member_id, follower_state> followers_;
   std::map<member_id, seen_disk> seen_;
-  std::map<member_id, disk_generation> joining_;
-  std::map<member_id, vm_address> heard_from_;
+  std::map<member_id, joining_disk> joining_;
+  std::map<member_id, joining_disk> heard_from_;
   std::map<member_id, identity_request> new_members_;
   std::set<member_id> confirmed_by_;
   std::set<log_index> pending_;
--- a/include/figwind/ids.h
+++ b/include/figwind/ids.h
@@ -18,7 +18,9 @@
 
   T value{};
 
-  friend auto operator<=>(const strong&, const strong&) = default;
+  friend auto operator<=>(const strong& a, const strong& b) {
+    return a.value <=> b.value;
+  }
   friend auto operator==(const strong&, const strong&) -> bool = default;
 };
 
--- a/include/figwind/units.h
+++ b/include/figwind/units.h
@@ -11,7 +11,10 @@
 struct duration {
   double ms = 0;
 
-  friend auto operator<=>(const duration&, const duration&) = default;
+  friend auto operator<=>(const duration& a, const duration& b) {
+    return a.ms <=> b.ms;
+  }
+  friend auto operator==(const duration&, const duration&) -> bool = default;
 };
 
 /// A point on the clock in milliseconds since an epoch that its source states:
@@ -19,7 +22,11 @@
 struct time_point {
   double ms = 0;
 
-  friend auto operator<=>(const time_point&, const time_point&) = default;
+  friend auto operator<=>(const time_point& a, const time_point& b) {
+    return a.ms <=> b.ms;
+  }
+  friend auto operator==(const time_point&, const time_point&)
+      -> bool = default;
 };
 
 constexpr auto milliseconds(double count) -> duration {
--- a/src/decisions/consensus.cc
+++ b/src/decisions/consensus.cc
@@ -248,9 +248,14 @@
 
 auto consensus::address_of(member_id id) const -> vm_address {
   const auto* known = find_member(members(), id);
-  if (known != nullptr) return known->address;
   auto heard = heard_from_.find(id);
-  if (heard != heard_from_.end()) return heard->second;
+  // A member that was moved tells its address before the log agrees on it;
+  // another disk with its id must not draw its messages away.
+  auto same =
+      known == nullptr || (heard != heard_from_.end() &&
+                           heard->second.generation == known->generation);
+  if (same && heard != heard_from_.end()) return heard->second.address;
+  if (known != nullptr) return known->address;
   for (const auto& m : settings_.first_members) {
     if (m.id == id) return m.address;
   }
@@ -294,11 +299,11 @@
 }
 
 void consensus::send(member_id to, consensus_message message) {
-  output_.send.push_back({to, std::move(message)});
+  output_.send.push_back({to, address_of(to), std::move(message)});
 }
 
 void consensus::send_durable(member_id to, consensus_message message) {
-  unreleased_.push_back({to, std::move(message)});
+  unreleased_.push_back({to, address_of(to), std::move(message)});
 }
 
 auto consensus::entry_at(log_index index) const -> const log_entry& {
--- a/src/decisions/consensus_identity.cc
+++ b/src/decisions/consensus_identity.cc
@@ -109,7 +109,7 @@
 
 void consensus::pass_on(const identity_request& m) {
   if (role_ == member_role::leader) {
-    joining_[m.header.from] = m.header.generation;
+    joining_[m.header.from] = {m.header.generation, m.address};
   } else if (leader_.value != 0 && !m.forwarded) {
     // The settings of the new disk may name no member that leads now.
     auto copy = m;
@@ -119,7 +119,7 @@
 }
 
 void consensus::handle(const identity_request& m) {
-  heard_from_[m.header.from] = m.address;
+  heard_from_[m.header.from] = {m.header.generation, m.address};
   if (!snapshot_) {
     if (m.is_new) {
       new_members_[m.header.from] = m;
@@ -129,10 +129,13 @@
   }
   const auto* known = find_member(members(), m.header.from);
   auto agreed = known != nullptr ? known->generation : disk_generation{};
-  if (known != nullptr && agreed != m.header.generation) pass_on(m);
+  auto moved = known != nullptr && known->address != m.address;
+  auto other_disk = known != nullptr && agreed != m.header.generation;
+  if (moved || other_disk) pass_on(m);
   auto acknowledged = acknowledged_by(m.header.from, m.header.generation);
-  send_durable(m.header.from, identity_reply{header(), m.header.generation,
-                                             agreed, acknowledged});
+  auto reply =
+      identity_reply{header(), m.header.generation, agreed, acknowledged};
+  unreleased_.push_back({m.header.from, m.address, reply});
 }
 
 void consensus::handle(const identity_reply& m) {
--- a/src/decisions/consensus_replication.cc
+++ b/src/decisions/consensus_replication.cc
@@ -178,19 +178,12 @@
 }
 
 auto consensus::admit_new_disk() -> bool {
-  for (const auto& [id, generation] : std::exchange(joining_, {})) {
+  for (const auto& [id, disk] : std::exchange(joining_, {})) {
     auto next = members();
     auto m = std::find_if(next.members.begin(), next.members.end(),
                           [id = id](const member& x) { return x.id == id; });
-    if (m == next.members.end() || m->generation == generation) continue;
-    // Two processes with one id must not take turns: the older disk stays
-    // while it answers.
-    auto alive = m->generation.value != 0 &&
-                 now_ - followers_[id].last_reply < settings_.election_max;
-    if (alive) continue;
-    m->generation = generation;
-    m->voter = false;
-    if (voter_count(next) == 0) continue;
+    if (m == next.members.end() || !admit(*m, disk)) continue;
+    if (next == members() || voter_count(next) == 0) continue;
     followers_.erase(id);
     propose_members(std::move(next));
     return true;
@@ -198,6 +191,22 @@
   return false;
 }
 
+auto consensus::admit(member& known, const joining_disk& disk) const -> bool {
+  if (known.generation == disk.generation) {
+    known.address = disk.address;
+    return true;
+  }
+  // Two processes with one id must not take turns: the older disk stays while
+  // it answers.
+  auto f = followers_.find(known.id);
+  auto alive = f != followers_.end() && known.generation.value != 0 &&
+               now_ - f->second.last_reply < settings_.election_max;
+  known.generation = disk.generation;
+  known.address = disk.address;
+  known.voter = false;
+  return !alive;
+}
+
 auto consensus::promote_learner() -> bool {
   auto next = members();
   for (auto& m : next.members) {
@@ -291,7 +300,9 @@
   auto id = m.header.from;
   if (!is_current(m.header)) {
     // The member answers with a disk that is not agreed on yet.
-    if (m.header.generation.value != 0) joining_[id] = m.header.generation;
+    const auto* known = find_member(members(), id);
+    if (known == nullptr || m.header.generation.value == 0) return;
+    joining_[id] = {m.header.generation, known->address};
     return;
   }
   auto& f = followers_[id];
--- a/test/consensus-test.cc
+++ b/test/consensus-test.cc
@@ -104,6 +104,33 @@
   }
 }
 
+// Guards against two processes with one id that take turns as one member, and
+// against a member that cannot be reached after its VM got another address.
+TEST(consensus, a_member_keeps_its_disk_and_may_move) {
+  checked_cluster c{3, 16};
+  ASSERT_TRUE(c.agree());
+  auto& lead = *c.leader();
+  auto victim = other_than(lead.id);
+  auto generation = c.at(victim).core->generation();
+  auto ask = [&](disk_generation g, const vm_address& address) {
+    auto request = identity_request{};
+    request.header = {{victim}, g, 0};
+    request.address = address;
+    c.take(lead, lead.core->receive(request, c.now()));
+    c.run_for(milliseconds(300));
+    return *find_member(lead.core->members(), {victim});
+  };
+  section("a second disk is not admitted while the first one answers",
+          [&] { EXPECT_EQ(ask({999}, {"other"}).generation, generation); });
+  EXPECT_NE(lead.core->address_of({victim}).value, "other");
+  section("a new address is agreed on", [&] {
+    auto moved = ask(generation, {"moved"});
+    EXPECT_EQ(moved.address.value, "moved");
+    EXPECT_TRUE(moved.voter);
+    EXPECT_EQ(lead.core->address_of({victim}).value, "moved");
+  });
+}
+
 // Guards against a second cluster formed by an empty disk and a late member.
 TEST(consensus, a_cluster_is_formed_only_by_all_first_members) {
   checked_cluster c{3, 13};
@@ -262,8 +289,15 @@
     for (auto& [id, x] : c_.all()) x.disk->repair();
     if (!c_.agree(seconds(5)) || !p.up) return;
     c_.links() = saved;
-    c_.crash(p.id);
-    p.disk = std::make_unique<fake_files>();
+    auto old = std::make_unique<fake_files>(p.disk->copy());
+    auto* lead = c_.leader();
+    auto base = lead->store.current().version.value;
+    sent_.push_back(edit(sent_.size() + 1, base));
+    c_.change(*lead, sent_.back());
+    c_.run_for(milliseconds(200));
+    if (p.up) c_.crash(p.id);
+    p.disk =
+        random_.chance(0.5) ? std::move(old) : std::make_unique<fake_files>();
     c_.start(p.id);
     c_.run_until(seconds(5), [&] {
       return p.up && p.core->standing() == member_standing::voter;
