--- a/test/consensus-test.cc
+++ b/test/consensus-test.cc
@@ -104,6 +104,20 @@
   }
 }
 
+// Guards against a removed leader that goes on leading.
+TEST(consensus, a_removed_leader_hands_over) {
+  checked_cluster c{4, 17};
+  ASSERT_TRUE(accept(c, 1, 2));
+  auto old = c.leader()->id;
+  auto removed = c.leader()->core->remove_member(old);
+  ASSERT_EQ(removed.status, proposal_status::pending);
+  c.take(*c.leader(), std::move(removed.output));
+  c.run_for(milliseconds(300));
+  EXPECT_NE(c.all().at(old).core->role(), member_role::leader);
+  ASSERT_TRUE(accept(c, 3, 1));
+  EXPECT_EQ(find_member(c.leader()->core->members(), old), nullptr);
+}
+
 // Guards against two processes with one id that take turns as one member, and
 // against a member that cannot be reached after its VM got another address.
 TEST(consensus, a_member_keeps_its_disk_and_may_move) {
@@ -120,9 +134,12 @@
     c.run_for(milliseconds(300));
     return *find_member(lead.core->members(), {victim});
   };
-  section("a second disk is not admitted while the first one answers",
-          [&] { EXPECT_EQ(ask({999}, {"other"}).generation, generation); });
-  EXPECT_NE(lead.core->address_of({victim}).value, "other");
+  section("a second disk is not admitted while the first one answers", [&] {
+    auto last = lead.core->last_index();
+    EXPECT_EQ(ask({999}, {"other"}).generation, generation);
+    EXPECT_EQ(lead.core->last_index(), last);
+    EXPECT_NE(lead.core->address_of({victim}).value, "other");
+  });
   section("a new address is agreed on", [&] {
     auto moved = ask(generation, {"moved"});
     EXPECT_EQ(moved.address.value, "moved");
--- a/test/storage-test.cc
+++ b/test/storage-test.cc
@@ -101,6 +101,25 @@
   }
 }
 
+// Guards against entries that a received snapshot has overridden: the crash
+// comes after the new snapshot and before the new log.
+TEST(storage, a_received_snapshot_overrides_the_older_log) {
+  fake_files files;
+  auto s = storage{files};
+  ASSERT_TRUE(ok(s.open()));
+  auto all = batches();
+  ASSERT_EQ(s.write(all[0]), io_status::done);
+  auto old = persist_batch{2, std::nullopt, std::nullopt, {}};
+  for (log_index i = 1; i <= 5; ++i) old.entries.push_back(entry(i, 3));
+  ASSERT_EQ(s.write(old), io_status::done);
+  constexpr auto steps_of_one_file = 5;
+  files.fail_after(steps_of_one_file, io_status::failed);
+  auto received = persist_batch{3, all[2].state, all[3].snapshot, {}};
+  EXPECT_EQ(s.write(received), io_status::failed);
+  files.repair();
+  EXPECT_EQ(reopen(files), "term 3 snapshot 3");
+}
+
 // Guards against damage that is taken for a torn tail: entries that were
 // accepted would be forgotten.
 TEST(storage, refuses_damage_before_the_last_record) {
