--- a/include/figwind/consensus.h
+++ b/include/figwind/consensus.h
@@ -44,6 +44,9 @@
   /// After a restart all other voters are asked about this disk; after this
   /// time the answers of a majority suffice.
   duration disk_check = seconds(1);
+  /// Until a leader is heard, but no longer than this after a restart, only a
+  /// log as long as the longest one that was told gets the vote.
+  duration log_check = seconds(10);
   /// Entries of one append request; a message stays below 1 MiB.
   std::size_t append_bytes = 256U << 10U;
   std::size_t chunk_bytes = 64U << 10U;
@@ -274,7 +277,7 @@
   void request_votes(bool trial, log_term election);
   void count_votes();
   void become_leader();
-  auto is_up_to_date(const vote_request& m) const -> bool;
+  auto is_up_to_date(log_term term, log_index index) const -> bool;
   void handle(const vote_request& m);
   void handle(const vote_reply& m);
 
@@ -287,6 +290,7 @@
   auto last_possible_match(const append_request& m) const -> log_index;
   void store_entries(const append_request& m);
   void install(const log_snapshot& snapshot);
+  auto counts(const message_header& h) -> bool;
   void resend_from(member_id to, log_index index);
   void send_entries(member_id to, bool heartbeat);
   void send_chunk(member_id to);
@@ -328,6 +332,10 @@
   // Set while the disk may not vote although members agree on an older one.
   bool waiting_ = false;
   time_point checking_since_;
+  // Longest log that was told during the check: a disk that was rolled back
+  // unnoticed must not help a shorter one to win.
+  log_index told_index_ = 0;
+  log_term told_term_ = 0;
   // A rolled-back disk may have voted up to this term already.
   log_term vote_floor_ = 0;
 
--- a/include/figwind/consensus_messages.h
+++ b/include/figwind/consensus_messages.h
@@ -173,6 +173,9 @@
   disk_generation agreed;
   /// Accepted entries up to here were acknowledged by the asking disk.
   log_index acknowledged = 0;
+  /// End of the log of the member that answers.
+  log_index last_index = 0;
+  log_term last_term = 0;
 };
 
 using consensus_message =
@@ -234,7 +237,8 @@
 }
 template <class Inspector>
 auto inspect(Inspector& f, identity_reply& x) {
-  return f(x.header, x.asked, x.agreed, x.acknowledged);
+  return f(x.header, x.asked, x.agreed, x.acknowledged, x.last_index,
+           x.last_term);
 }
 
 }  // namespace figwind
--- a/src/decisions/consensus_election.cc
+++ b/src/decisions/consensus_election.cc
@@ -1,12 +1,15 @@
 // Elections: a trial first (pre-vote), then votes that are durable before they
 // are given.
 
+#include <utility>
+
 #include "figwind/consensus.h"
 
 namespace figwind {
 
 void consensus::start_trial() {
   set_leader({}, false);
+  if (!is_up_to_date(last_term(), last_index())) return;
   role_ = member_role::trial_candidate;
   votes_ = {settings_.self};
   request_votes(true, state_.term + 1);
@@ -58,14 +61,18 @@
   append_as_leader(entry_kind::term_start, {});
 }
 
-auto consensus::is_up_to_date(const vote_request& m) const -> bool {
-  if (m.last_term != last_term()) return m.last_term > last_term();
-  return m.last_index >= last_index();
+auto consensus::is_up_to_date(log_term term, log_index index) const -> bool {
+  auto candidate = std::pair{term, index};
+  auto told = std::pair{told_term_, told_index_};
+  auto expired = now_ - checking_since_ >= settings_.log_check;
+  if (candidate < told && !expired) return false;
+  return candidate >= std::pair{last_term(), last_index()};
 }
 
 void consensus::handle(const vote_request& m) {
   if (!may_vote() || hears_leader()) return;
-  auto granted = is_up_to_date(m) && m.election > vote_floor_;
+  auto granted =
+      is_up_to_date(m.last_term, m.last_index) && m.election > vote_floor_;
   if (m.trial) {
     granted = granted && m.election > state_.term;
   } else {
--- a/src/decisions/consensus_identity.cc
+++ b/src/decisions/consensus_identity.cc
@@ -141,8 +141,8 @@
   auto other_disk = known != nullptr && agreed != m.header.generation;
   if (moved || other_disk) pass_on(m);
   auto acknowledged = acknowledged_by(m.header.from, m.header.generation);
-  auto reply =
-      identity_reply{header(), m.header.generation, agreed, acknowledged};
+  auto reply = identity_reply{header(),     m.header.generation, agreed,
+                              acknowledged, last_index(),        last_term()};
   unreleased_.push_back({m.header.from, m.address, reply});
 }
 
@@ -168,6 +168,11 @@
   }
   if (!checking_ || !own || !is_current(m.header)) return;
   vote_floor_ = std::max(vote_floor_, m.header.term);
+  if (std::pair{m.last_term, m.last_index} >
+      std::pair{told_term_, told_index_}) {
+    told_term_ = m.last_term;
+    told_index_ = m.last_index;
+  }
   const auto* sender = find_member(members(), m.header.from);
   if (sender->voter) confirmed_by_.insert(m.header.from);
   compare_answers();
--- a/src/decisions/consensus_replication.cc
+++ b/src/decisions/consensus_replication.cc
@@ -277,6 +277,8 @@
     apply_committed();
   }
   if (checking_ && matched >= m.commit) confirm_disk();
+  told_index_ = 0;
+  told_term_ = 0;
   reply.accepted = true;
   reply.index = matched;
   reply.last_index = last_index();
@@ -295,16 +297,18 @@
   send_entries(to, false);
 }
 
+auto consensus::counts(const message_header& h) -> bool {
+  if (is_current(h)) return true;
+  // The member answers with a disk that is not agreed on yet.
+  const auto* known = find_member(members(), h.from);
+  if (known == nullptr || h.generation.value == 0) return false;
+  joining_[h.from] = {h.generation, known->address};
+  return false;
+}
+
 void consensus::handle(const append_reply& m) {
-  if (role_ != member_role::leader) return;
+  if (role_ != member_role::leader || !counts(m.header)) return;
   auto id = m.header.from;
-  if (!is_current(m.header)) {
-    // The member answers with a disk that is not agreed on yet.
-    const auto* known = find_member(members(), id);
-    if (known == nullptr || m.header.generation.value == 0) return;
-    joining_[id] = {m.header.generation, known->address};
-    return;
-  }
   // No member can hold more of this term than its leader.
   if (m.accepted && m.index > last_index()) return;
   auto& f = followers_[id];
@@ -312,7 +316,7 @@
   if (m.last_index < f.acknowledged) {
     auto known = std::min(f.acknowledged, commit_);
     send(id, identity_reply{header(), m.header.generation, m.header.generation,
-                            known});
+                            known, last_index(), last_term()});
   }
   if (m.needs_snapshot) {
     if (!f.sending_snapshot) start_snapshot(id);
@@ -374,7 +378,7 @@
 }
 
 void consensus::handle(const snapshot_reply& m) {
-  if (role_ != member_role::leader || !is_current(m.header)) return;
+  if (role_ != member_role::leader || !counts(m.header)) return;
   auto id = m.header.from;
   auto& f = followers_[id];
   f.last_reply = now_;
