Let the candidate's log decide who votes

Change: a member with a confirmed disk gives its vote whatever its own log says of it, and one removed by an entry that only it may hold still hands its log on; the candidate counts by its own members and disk generations.

--- a/include/figwind/consensus.h
+++ b/include/figwind/consensus.h
@@ -2,13 +2,19 @@
 // Understandable Consensus Algorithm", USENIX ATC 2014; pre-vote, check-quorum
 // and changes of one member at a time: Ongaro's thesis, 2014).
 //
+// Start: open the storage, restore the state machine from the snapshot, if
+// there is one, and construct `consensus` with all that was read. Entries after
+// the snapshot are applied once a leader tells that they are accepted.
+//
 // Drive one `consensus` from one thread. After each call, in this order:
 //   1. hand `output.persist` to the storage and, once it is durable, call
 //      `persisted(batch)`; on an error call `storage_failed()`;
 //   2. send `output.send`;
 //   3. restore or apply to the state machine: `output.restore`, then
 //      `output.apply`;
-//   4. answer those who wait for `output.settled`.
+//   4. answer those who wait for `output.settled`;
+//   5. when `wants_compaction()`, call `compact` with the state machine's
+//      snapshot and begin again at 1.
 // Messages that depend on a batch are held back here and come out of
 // `persisted`, so whatever is in `send` may go out at once.
 
@@ -265,6 +271,9 @@
   void fail_pending();
   auto is_current(const message_header& h) const -> bool;
   auto may_vote() const -> bool;
+  auto may_grant() const -> bool;
+  auto may_campaign() const -> bool;
+  auto votes_in(const membership& all) const -> bool;
   auto hears_leader() const -> bool;
   void restart_election_wait();
   void dispatch(const consensus_message& message);
--- a/src/decisions/consensus.cc
+++ b/src/decisions/consensus.cc
@@ -76,7 +76,7 @@
     lead();
   } else if (now_ >= election_due_) {
     restart_election_wait();
-    if (may_vote()) start_trial();
+    if (may_campaign()) start_trial();
   }
   return finish();
 }
--- a/src/decisions/consensus_election.cc
+++ b/src/decisions/consensus_election.cc
@@ -7,11 +7,32 @@
 
 namespace figwind {
 
+auto consensus::votes_in(const membership& all) const -> bool {
+  const auto* self = find_member(all, settings_.self);
+  return self != nullptr && self->voter &&
+         self->generation == state_.generation;
+}
+
+// Whether a vote counts is decided by the log of the candidate: this member's
+// own log may lack its promotion or hold a removal that is never accepted.
+auto consensus::may_grant() const -> bool {
+  return snapshot_.has_value() && !checking_ && !stopped_;
+}
+
+auto consensus::may_campaign() const -> bool {
+  if (!may_grant()) return false;
+  if (votes_in(members())) return true;
+  if (member_entries_.empty()) return false;
+  auto last = member_entries_.back().index;
+  // Removed by an entry that only this member may hold.
+  return last > commit_ && votes_in(members_at(last - 1));
+}
+
 void consensus::start_trial() {
   set_leader({}, false);
   if (!is_up_to_date(last_term(), last_index())) return;
   role_ = member_role::trial_candidate;
-  votes_ = {settings_.self};
+  votes_.clear();
   request_votes(true, state_.term + 1);
   count_votes();
 }
@@ -37,9 +58,9 @@
 
 void consensus::count_votes() {
   auto votes = votes_.size();
-  if (role_ == member_role::candidate && durable_vote_term_ == state_.term) {
-    ++votes;
-  }
+  auto own_vote = role_ == member_role::trial_candidate ||
+                  durable_vote_term_ == state_.term;
+  if (own_vote && votes_in(members())) ++votes;
   if (votes < majority(members())) return;
   if (role_ == member_role::trial_candidate) {
     start_election();
@@ -70,7 +91,7 @@
 }
 
 void consensus::handle(const vote_request& m) {
-  if (!may_vote() || hears_leader()) return;
+  if (!may_grant() || hears_leader()) return;
   auto granted =
       is_up_to_date(m.last_term, m.last_index) && m.election > vote_floor_;
   if (m.trial) {
--- a/test/consensus-rules-test.cc
+++ b/test/consensus-rules-test.cc
@@ -206,6 +206,37 @@
           [&] { EXPECT_EQ(vote_for(4, seconds(11)), 1); });
 }
 
+// Guards against members that wait for each other's vote for ever, because one
+// does not hold its promotion yet and one holds a removal never accepted.
+TEST(consensus_rules, the_log_of_the_candidate_decides_who_votes) {
+  section("a learner gives its vote", [] {
+    auto members = three();
+    members.members[0].voter = false;
+    lone_member m{lone_member::formed(members)};
+    m.confirm();
+    m.receive(vote_request{m.header(2, 2), 2, 4, 1, false});
+    m.persist();
+    EXPECT_EQ(m.granted(), 1);
+  });
+  section("a removed member hands its longer log on", [] {
+    auto disk = lone_member::formed();
+    auto others = three();
+    others.members.erase(others.members.begin());
+    disk.entries = {{1, 1, entry_kind::members, encode(others)}};
+    lone_member m{disk};
+    m.confirm();
+    while (m.core.role() != member_role::trial_candidate) m.tick();
+    m.receive(vote_reply{m.header(2, 1), 2, true, true});
+    EXPECT_EQ(m.core.role(), member_role::trial_candidate) << "one of two";
+    m.receive(vote_reply{m.header(3, 1), 2, true, true});
+    m.persist();
+    m.receive(vote_reply{m.header(2, 2), 2, true, false});
+    EXPECT_EQ(m.core.role(), member_role::candidate) << "one of two";
+    m.receive(vote_reply{m.header(3, 2), 2, true, false});
+    EXPECT_EQ(m.core.role(), member_role::leader);
+  });
+}
+
 // Guards against members that stay in force although their entry was replaced.
 TEST(consensus_rules, a_replaced_entry_takes_its_members_with_it) {
   lone_member m{lone_member::formed()};
