Keep durably that a cluster exists; no second one is formed

Change: a new disk that was told of a formed cluster stores that with its hard state, claims to be new no longer and only joins.

--- a/bench/adapter-storage-bench.cc
+++ b/bench/adapter-storage-bench.cc
@@ -62,7 +62,7 @@
   auto disk = disk_storage{files};
   disk.open();
   auto store = config_store{};
-  auto state = hard_state{1, {1}, {101}, {}};
+  auto state = hard_state{1, {1}, {101}, {}, false};
   auto snapshot = log_snapshot{0, 0, first_members(), {}};
   disk.write({0, state, snapshot, {}});
   for (log_index n = 1; n <= changes;) {
--- a/include/figwind/consensus.h
+++ b/include/figwind/consensus.h
@@ -71,6 +71,8 @@
   disk_generation generation;
   /// First members that this disk agreed to; kept until the cluster is formed.
   membership first_members;
+  /// True once this new disk was told of a formed cluster: it forms no other.
+  bool joins_only = false;
 
   friend auto operator==(const hard_state&, const hard_state&)
       -> bool = default;
@@ -323,6 +325,7 @@
   void form(const membership& first);
   void start_new_disk();
   void confirm_disk();
+  void join_only();
   void compare_answers();
   void pass_on(const identity_request& m);
   void handle(const identity_request& m);
@@ -338,8 +341,6 @@
   bool stopped_ = false;
   // Set while the disk has not been compared with what the others know of it.
   bool checking_ = false;
-  // Set while the disk may not vote although members agree on an older one.
-  bool waiting_ = false;
   time_point checking_since_;
   // Longest log that was told during the check: a disk that was rolled back
   // unnoticed must not help a shorter one to win.
--- a/src/decisions/consensus.cc
+++ b/src/decisions/consensus.cc
@@ -207,7 +207,8 @@
 auto consensus::standing() const -> member_standing {
   if (stopped_) return member_standing::stopped;
   if (!snapshot_) {
-    return waiting_ ? member_standing::waiting : member_standing::forming;
+    return state_.joins_only ? member_standing::waiting
+                             : member_standing::forming;
   }
   const auto* self = find_member(members(), settings_.self);
   if (self == nullptr || self->generation != state_.generation) {
--- a/src/decisions/consensus_identity.cc
+++ b/src/decisions/consensus_identity.cc
@@ -25,9 +25,12 @@
 void consensus::ask_identity() {
   agree_first_members();
   if (snapshot_ && may_vote()) return;
-  auto request = identity_request{header(),     settings_.address,
-                                  !snapshot_,   state_.first_members,
-                                  last_index(), false};
+  auto request = identity_request{header(),
+                                  settings_.address,
+                                  !snapshot_ && !state_.joins_only,
+                                  state_.first_members,
+                                  last_index(),
+                                  false};
   auto asked = std::set<member_id>{settings_.self};
   auto ask = [&](const member& m) {
     if (asked.insert(m.id).second) send_durable(m.id, request);
@@ -37,7 +40,7 @@
 }
 
 void consensus::agree_first_members() {
-  if (snapshot_ || waiting_) return;
+  if (snapshot_ || state_.joins_only) return;
   auto first = membership{};
   auto self_named = false;
   for (auto m : settings_.first_members) {
@@ -74,6 +77,12 @@
   restart_election_wait();
 }
 
+void consensus::join_only() {
+  if (state_.joins_only) return;
+  state_.joins_only = true;
+  state_changed_ = true;
+}
+
 void consensus::confirm_disk() {
   checking_ = false;
   vote_floor_ = std::max(vote_floor_, state_.term);
@@ -153,7 +162,7 @@
     // This disk was rolled back: entries that it vouched for are gone.
     start_new_disk();
     checking_ = snapshot_.has_value();
-    waiting_ = !snapshot_;
+    if (!snapshot_) join_only();
     confirmed_by_.clear();
     become_follower(state_.term, leader_, role_ == member_role::leader);
     return;
@@ -162,7 +171,7 @@
     if (own && !state_.first_members.members.empty()) {
       form(membership{state_.first_members});
     } else {
-      waiting_ = true;
+      join_only();
     }
     return;
   }
--- a/src/decisions/consensus_replication.cc
+++ b/src/decisions/consensus_replication.cc
@@ -263,7 +263,7 @@
     note_progress(p.id, p.generation, p.acknowledged);
   }
   auto reply = append_reply{header(), false, 0, last_index(), !snapshot_};
-  if (!snapshot_) waiting_ = true;
+  if (!snapshot_) join_only();
   if (!snapshot_ || !matches(m)) {
     if (snapshot_) reply.index = last_possible_match(m);
     send_durable(m.header.from, reply);
@@ -373,7 +373,6 @@
   auto is_new = !snapshot_;
   adopt_snapshot(snapshot);
   output_.restore = snapshot;
-  waiting_ = false;
   if (is_new) confirm_disk();
 }
 
--- a/src/decisions/storage.cc
+++ b/src/decisions/storage.cc
@@ -51,6 +51,7 @@
   to.put_u64(x.vote.value);
   to.put_u64(x.generation.value);
   to.put_string(encode(x.first_members));
+  to.put_u8(x.joins_only ? 1 : 0);
 }
 
 auto get_state(byte_reader& from, hard_state& x) -> bool {
@@ -60,6 +61,7 @@
   auto first = decode_membership(from.get_string());
   if (!ok(first)) return false;
   x.first_members = value(std::move(first));
+  x.joins_only = from.get_u8() != 0;
   return true;
 }
 
--- a/test/adapter-storage-test.cc
+++ b/test/adapter-storage-test.cc
@@ -37,7 +37,7 @@
 }
 
 auto formed() -> persist_batch {
-  auto state = hard_state{1, {1}, {101}, {}};
+  auto state = hard_state{1, {1}, {101}, {}, false};
   auto first = membership{{{{1}, {"127.0.0.1:1"}, {101}, true, {}}}};
   return {0, state, log_snapshot{0, 0, first, {}}, {}};
 }
--- a/test/consensus-test.cc
+++ b/test/consensus-test.cc
@@ -175,6 +175,29 @@
   });
 }
 
+// Guards against a second cluster of first members that lost their disks one
+// after the other.
+TEST(consensus, a_disk_that_was_told_of_a_cluster_forms_no_other) {
+  checked_cluster c{3, 19};
+  ASSERT_TRUE(accept(c, 1, 1));
+  auto lose = [&](std::uint64_t id) {
+    c.crash({id});
+    c.at(id).disk = std::make_unique<fake_files>();
+  };
+  c.crash({3});
+  lose(1);
+  c.start({1});
+  c.run_for(seconds(1));
+  ASSERT_EQ(standing(c, 1), member_standing::waiting);
+  c.crash({1});
+  lose(2);
+  lose(3);
+  for (std::uint64_t id = 1; id <= 3; ++id) c.start({id});
+  c.run_for(seconds(5));
+  EXPECT_EQ(standing(c, 1), member_standing::waiting);
+  EXPECT_EQ(c.leader(), nullptr);
+}
+
 // Guards against a new member that counts before it holds what was accepted,
 // and against chunks that grow to the size of the state.
 TEST(consensus, a_member_is_replaced_through_a_large_snapshot) {
--- a/test/storage-test.cc
+++ b/test/storage-test.cc
@@ -21,8 +21,8 @@
 // Batches as a member writes them: a vote, entries, a replaced tail, a
 // snapshot with the rest of the log, and more entries.
 auto batches() -> std::vector<persist_batch> {
-  auto state = hard_state{3, {2}, {101}, {}};
-  auto later = hard_state{4, {1}, {101}, {}};
+  auto state = hard_state{3, {2}, {101}, {}, false};
+  auto later = hard_state{4, {1}, {101}, {}, false};
   auto snapshot = log_snapshot{3, 4, members(), "state"};
   return {
       {1, state, log_snapshot{0, 0, members(), {}}, {}},
