--- a/include/figwind/run_queue.h
+++ b/include/figwind/run_queue.h
@@ -86,7 +86,8 @@
   run_queue(const run_queue_options& options, int slots, bool cold,
             time_point now);
 
-  /// Takes a call that has reached the server node.
+  /// Takes a call that has reached the server node. A call that is queued may
+  /// still be refused by a later `tick`, which then lists it.
   auto arrive(const call_context& call, time_point now) -> arrival;
 
   /// Takes the end of a started call. Unknown tickets are ignored.
@@ -131,7 +132,7 @@
   void set_slots(int slots);
 
  private:
-  // Importance, hops below the deepest, deadline in ms, ticket.
+  // Importance, negative depth, deadline in ms, ticket.
   using order_key = std::tuple<int, int, double, std::uint64_t>;
 
   struct entry {
