--- a/test/consensus-test.cc
+++ b/test/consensus-test.cc
@@ -262,18 +262,21 @@
 // One random life of a cluster: changes, resends and faults.
 class schedule {
  public:
+  // Three of ten are harsh; these found faults that the others did not.
   explicit schedule(std::uint64_t seed)
-      : random_{seed}, c_{size(seed), seed, {}, compacting_after(40)} {}
+      : random_{seed},
+        c_{size(seed), seed, {}, compacting_after(40)},
+        harsh_{seed % 10 < 3} {}
 
   void run() {
     c_.run_until(seconds(10), [&] { return c_.leader() != nullptr; });
-    c_.links().lost = random_.chance(0.5) ? 0.1 * random_.unit() : 0;
-    c_.links().doubled = 0.1 * random_.unit();
+    c_.links().lost = random_.chance(0.5) ? loss_ * random_.unit() : 0;
+    c_.links().doubled = loss_ * random_.unit();
     c_.links().jitter = milliseconds(random_.chance(0.3) ? 60 : 2);
-    for (auto step = 0; step < 100; ++step) {
+    for (auto step = 0; step < steps_; ++step) {
       c_.run_for(milliseconds(60 * random_.unit()));
       if (random_.chance(0.8)) change();
-      if (random_.chance(0.12)) fault();
+      if (random_.chance(faults_)) fault();
       if (!c_.violations.empty()) return;
     }
     finish();
@@ -356,14 +359,7 @@
     auto base = lead->store.current().version.value;
     sent_.push_back(edit(sent_.size() + 1, base));
     c_.change(*lead, sent_.back());
-    // A rollback is found while another member knows of the acceptance. With
-    // lost heartbeats that takes longer than the 200 ms of a whole network.
-    auto whole = c_.links().lost == 0 && c_.links().jitter < milliseconds(10);
-    if (whole) {
-      c_.run_for(milliseconds(200));
-    } else if (!c_.agree(seconds(5))) {
-      return;
-    }
+    c_.run_for(milliseconds(200));
     if (p.up) c_.crash(p.id);
     p.disk =
         random_.chance(0.5) ? std::move(old) : std::make_unique<fake_files>();
@@ -407,6 +403,10 @@
 
   random_source random_;
   checked_cluster c_;
+  bool harsh_;
+  double loss_ = harsh_ ? 0.3 : 0.1;
+  double faults_ = harsh_ ? 0.3 : 0.12;
+  int steps_ = harsh_ ? 200 : 100;
   std::vector<config_change> sent_;
   std::uint64_t next_id_ = 20;
 };
