--- a/include/figwind/call.h
+++ b/include/figwind/call.h
@@ -58,9 +58,25 @@
   failure_domain origin;
   /// Empty for idempotent requests.
   request_key key;
+  /// Tells the calls of one request apart; random, chosen by the entry node.
+  std::uint64_t call = 0;
+  /// Number under which the server node of the calling request holds its retry
+  /// allowance; 0 at the start of the chain.
+  std::uint64_t parent = 0;
+  /// True when the caller states that it sends a keyed request for the first
+  /// time; only then may a refusal say "not run" without asking the recorders.
+  bool first_sending = false;
 
   friend auto operator==(const call_context&, const call_context&)
       -> bool = default;
 };
 
+/// Status of a refusal before the request ran here: `not_run`, or `unknown` for
+/// a keyed request that may have run at an earlier sending.
+auto refused_status(const call_context& context) -> call_status;
+
+/// Identity of one call, under which its answer is matched: a request may make
+/// several calls of the same class.
+auto call_id(const call_context& context) -> request_id;
+
 }  // namespace figwind
--- a/include/figwind/config_store.h
+++ b/include/figwind/config_store.h
@@ -71,6 +71,9 @@
 struct stored_record {
   std::uint64_t version = 0;
   std::string bytes;
+  /// Count of accepted record changes at the last change of this one; orders
+  /// the changes of different records.
+  std::uint64_t sequence = 0;
 
   friend auto operator==(const stored_record&, const stored_record&)
       -> bool = default;
@@ -93,6 +96,8 @@
 /// One applied entry.
 struct applied_change {
   request_id id;
+  /// Name of the record that the change is about; empty for the workload.
+  std::string name;
   change_answer answer;
   /// True when the request id was known and nothing was changed.
   bool repeated = false;
@@ -140,6 +145,7 @@
   accepted_config current_;
   findings unreadable_;
   std::map<std::string, stored_record> records_;
+  std::uint64_t record_changes_ = 0;
   std::unordered_map<request_id, change_answer> answers_;
   std::deque<request_id> order_;
   std::size_t answer_bytes_ = 0;
--- a/include/figwind/consensus.h
+++ b/include/figwind/consensus.h
@@ -99,7 +99,7 @@
   std::vector<log_entry> entries;
 };
 
-struct outgoing {
+struct member_message {
   member_id to;
   /// Where `to` is now; empty when it was never heard of.
   vm_address address;
@@ -150,7 +150,7 @@
 
 struct consensus_output {
   std::optional<persist_batch> persist;
-  std::vector<outgoing> send;
+  std::vector<member_message> send;
   std::optional<log_snapshot> restore;
   /// Accepted entries in order, of all kinds.
   std::vector<log_entry> apply;
@@ -237,7 +237,7 @@
   };
   struct held_message {
     std::uint64_t batch = 0;
-    outgoing out;
+    member_message out;
   };
   struct batch_mark {
     std::uint64_t batch = 0;
@@ -380,7 +380,7 @@
   std::uint64_t persisted_ = 0;
   std::optional<log_index> first_unstored_;
   bool snapshot_changed_ = false;
-  std::vector<outgoing> unreleased_;
+  std::vector<member_message> unreleased_;
   std::deque<held_message> held_;
   std::deque<batch_mark> marks_;
   consensus_output output_;
--- /dev/null
+++ b/include/figwind/entry_calls.h
@@ -0,0 +1,198 @@
+// The calls that one node handles as their entry node: admission, choice of
+// servers, attempts and the one outcome that each caller gets.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "figwind/admission.h"
+#include "figwind/balancer.h"
+#include "figwind/call.h"
+#include "figwind/call_state.h"
+#include "figwind/ids.h"
+#include "figwind/random.h"
+#include "figwind/retry.h"
+#include "figwind/units.h"
+#include "figwind/workload.h"
+
+namespace figwind {
+
+/// Makes the attempt `number` of a call at a server node.
+struct attempt_order {
+  attempt_number number = 0;
+  /// The server node, and its address for calls.
+  node_id server;
+  vm_address call_address;
+  /// True when the server node is this node.
+  bool local = false;
+  /// What the attempt carries; `time_left` is the time-out of the attempt.
+  call_context context;
+};
+
+/// Ends a call.
+struct call_answer {
+  call_status status = call_status::not_run;
+  refusal reason = refusal::none;
+  /// Attempt whose body the caller gets when the status is `complete` or
+  /// `failed`; 0 for none.
+  attempt_number attempt = 0;
+  /// Unspent part of the retry allowance.
+  int returned_allowance = 0;
+
+  friend auto operator==(const call_answer&, const call_answer&)
+      -> bool = default;
+};
+
+/// The next step of the call `id` (see `call_id`).
+struct call_step {
+  request_id id;
+  std::variant<attempt_order, call_answer> step;
+};
+
+/// Tells a server node that nobody waits for a request any more.
+struct cancel_order {
+  node_id server;
+  request_id request;
+};
+
+/// What the entry node has to do.
+struct entry_output {
+  std::vector<call_step> steps;
+  std::vector<cancel_order> cancels;
+};
+
+/// What became of one attempt.
+enum class attempt_fate : std::uint8_t {
+  /// `head` and `body` were received.
+  answered,
+  /// No connection could be made; nothing was sent.
+  not_sent,
+  /// The connection broke after sending began.
+  broken,
+  /// No answer came within the time-out.
+  timed_out,
+};
+
+struct attempt_report {
+  request_id call;
+  attempt_number number = 0;
+  attempt_fate fate = attempt_fate::broken;
+  answer_head head;
+  std::string body;
+  /// Thresholds of the services that the request was seen to use.
+  std::vector<threshold_report> thresholds;
+};
+
+/// What is remembered of a call that has ended.
+struct ended_call {
+  call_context context;
+  call_answer answer;
+  duration total;
+  /// Extra attempts that this node made for it.
+  int retries = 0;
+  service_name service;
+};
+
+struct entry_options {
+  node_id self;
+  vm_address call_address;
+  failure_domain domain;
+  /// Longest wait for the first list of a service's servers.
+  duration list_wait = seconds(2);
+};
+
+/// Each call has at most one attempt under way; its owner reports the end of
+/// that attempt with `attempt_ended` and then gets exactly one step.
+class entry_calls {
+ public:
+  entry_calls(entry_options options, std::uint64_t seed);
+
+  /// A call with all of `context` filled in. `known` is false while no list of
+  /// the service's servers has arrived: the call then waits for `set_servers`.
+  auto arrived(const call_context& context, const call_class& its_class,
+               bool known, time_point now) -> entry_output;
+
+  auto attempt_ended(const attempt_report& report, time_point now)
+      -> entry_output;
+
+  /// Replaces the servers of a service and starts the calls that wait for
+  /// them.
+  auto set_servers(const service_name& service,
+                   const std::vector<server>& servers, time_point now)
+      -> entry_output;
+
+  /// Cancels what is about to miss its deadline and refuses calls that waited
+  /// too long for a list. Call it every 10 ms or so.
+  auto tick(time_point now) -> entry_output;
+
+  /// The calls that ended since the last call of this function.
+  auto take_ended() -> std::vector<ended_call>;
+
+  /// Thresholds of `services` as seen here, for answers of this server node.
+  auto relay(const std::vector<service_name>& services, time_point now)
+      -> std::vector<threshold_report>;
+
+  /// Calls that have not ended.
+  [[nodiscard]] auto open_calls() const -> std::size_t { return calls_.size(); }
+
+ private:
+  struct live_call {
+    live_call(const call_context& arrived, call_class of_class, time_point now)
+        : context{arrived},
+          its_class{std::move(of_class)},
+          state{matched(arrived), its_class.idempotent},
+          started{now},
+          deadline{now + arrived.time_left} {}
+
+    /// Answers are matched by the id of the call, not of the request.
+    static auto matched(call_context x) -> call_context {
+      x.id = call_id(x);
+      return x;
+    }
+
+    call_context context;
+    call_class its_class;
+    call_state state;
+    time_point started;
+    time_point deadline;
+    attempt_number attempt = 0;
+    attempt_ticket ticket = 0;
+    node_id server;
+    bool waiting_for_list = false;
+    bool near_deadline = false;
+    /// True from an order until the report of its attempt.
+    bool under_way = false;
+    /// Outcome of a call whose last attempt has not been reported yet.
+    std::optional<call_answer> outcome;
+  };
+
+  void perform(const request_id& id, const call_actions& actions,
+               time_point now, entry_output& out);
+  void try_server(const request_id& id, live_call& call, time_point now,
+                  entry_output& out);
+  auto attempt_time(const live_call& call, time_point now) const -> duration;
+  auto apply(live_call& call, const attempt_report& report, time_point now)
+      -> call_actions;
+  void end(const request_id& id, live_call& call, const call_answer& answer,
+           time_point now, entry_output& out);
+  void note_end(live_call& call, const attempt_report& report, time_point now);
+  auto refuse(const call_context& context, refusal reason) -> entry_output;
+
+  entry_options options_;
+  random_source random_;
+  balancer balancer_;
+  entry_gate gate_;
+  std::unordered_map<service_name, retry_share> shares_;
+  std::unordered_map<request_id, live_call> calls_;
+  std::unordered_map<service_name, std::vector<request_id>> waiting_;
+  std::vector<ended_call> ended_;
+};
+
+}  // namespace figwind
--- a/include/figwind/ids.h
+++ b/include/figwind/ids.h
@@ -56,7 +56,11 @@
   vm_address address;
   incarnation start;
 
-  friend auto operator<=>(const node_id&, const node_id&) = default;
+  friend auto operator<=>(const node_id& a, const node_id& b) {
+    auto order = a.address <=> b.address;
+    return std::is_neq(order) ? order : a.start <=> b.start;
+  }
+  friend auto operator==(const node_id&, const node_id&) -> bool = default;
 };
 
 template <class Inspector>
@@ -69,7 +73,12 @@
   std::uint64_t high = 0;
   std::uint64_t low = 0;
 
-  friend auto operator<=>(const request_id&, const request_id&) = default;
+  friend auto operator<=>(const request_id& a, const request_id& b) {
+    auto order = a.high <=> b.high;
+    return std::is_neq(order) ? order : a.low <=> b.low;
+  }
+  friend auto operator==(const request_id&, const request_id&)
+      -> bool = default;
 };
 
 template <class Inspector>
--- a/include/figwind/node_core.h
+++ b/include/figwind/node_core.h
@@ -1,131 +1,180 @@
-// All decisions of one node: events go in, effects come out.
+// All decisions of one node: events go in, effects come out. It joins the entry
+// side, the server side, membership and key recording.
 
 #pragma once
 
 #include <cstdint>
 #include <map>
+#include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
+#include "figwind/burn.h"
 #include "figwind/call.h"
+#include "figwind/entry_calls.h"
 #include "figwind/ids.h"
+#include "figwind/key_recorder.h"
+#include "figwind/node_messages.h"
+#include "figwind/node_view.h"
+#include "figwind/outgoing.h"
 #include "figwind/random.h"
+#include "figwind/server_runs.h"
 #include "figwind/units.h"
 #include "figwind/workload.h"
 
 namespace figwind {
 
-/// What a backend server says of itself to the node beside it.
-struct backend_announcement {
-  service_name service;
-  /// HTTP address of the backend server.
-  vm_address address;
-  /// Requests that it can run at once.
-  int slots = 0;
-  /// Connections that it accepts.
-  int connections = 0;
-
-  friend auto operator==(const backend_announcement&,
-                         const backend_announcement&) -> bool = default;
-};
-
-/// Makes the attempt `number` of a call at a server node.
-struct attempt_order {
-  int number = 0;
-  /// Call address of the server node.
-  vm_address server;
-  /// True when the server node is this node.
-  bool local = false;
-  /// What the attempt carries.
-  call_context context;
-};
-
-/// Ends a call with this outcome; a complete answer is the one that the last
-/// attempt brought.
-struct call_answer {
-  call_status status = call_status::not_run;
-  refusal reason = refusal::none;
-
-  friend auto operator==(const call_answer&, const call_answer&)
-      -> bool = default;
-};
-
-using call_step = std::variant<attempt_order, call_answer>;
-
-/// The next step of a call at its entry node.
-struct call_effect {
-  request_id id;
-  call_step step;
-};
-
-/// Whether a request may run on the backend server of this node.
-struct run_effect {
-  std::uint64_t ticket = 0;
-  bool run = false;
-  /// Why not, when `run` is false.
-  call_answer answer;
-};
-
-using node_effect = std::variant<call_effect, run_effect>;
-using node_effects = std::vector<node_effect>;
-
-/// What became of one attempt.
-struct attempt_report {
-  request_id id;
-  int number = 0;
-  call_answer answer;
-  duration latency;
+/// What a node has to do after an event.
+struct node_output {
+  std::vector<call_step> calls;
+  std::vector<run_step> runs;
+  std::vector<outgoing<node_message>> messages;
+  /// Calls of this node as entry node that have ended.
+  std::vector<ended_call> ended;
+  /// Version that was put in force, if any.
+  std::optional<config_version> in_force;
 };
 
 /// Settings of the decisions of one node.
 struct node_options {
+  node_id self;
   failure_domain domain;
   vm_address call_address;
+  std::vector<member_place> members;
   std::uint64_t seed = 0;
+  node_view_options view;
+  key_limits keys;
 };
 
-/// One node. All functions return what has to be done now.
+/// One node.
 class node_core {
  public:
-  explicit node_core(node_options options);
+  node_core(node_options options, time_point now);
 
-  /// Puts `classes` in force.
-  void set_workload(workload classes);
+  /// Puts the accepted configuration `version` in force; a version that is not
+  /// higher than the present one and a text with findings change nothing.
+  /// Version 0 is a workload to start with.
+  auto put_in_force(config_version version, const std::string& text)
+      -> findings;
 
   /// The backend server beside this node is ready.
-  void announce(const backend_announcement& backend);
+  auto announce(const backend_announcement& backend, time_point now)
+      -> node_output;
 
-  /// A caller's request at its entry node; `context.id` must be unique.
-  auto call_arrived(const call_context& context, time_point now)
-      -> node_effects;
+  /// A request for the class `context.name`. At depth 0 the node fills in what
+  /// the class decides; below it the allowance comes from the parent.
+  auto call_arrived(call_context context, request_fingerprint request,
+                    time_point now, time_point unix_now) -> node_output;
 
-  /// An attempt that `attempt_order` asked for has ended.
-  auto attempt_ended(const attempt_report& report, time_point now)
-      -> node_effects;
+  auto attempt_ended(const attempt_report& report, time_point now,
+                     time_point unix_now) -> node_output;
 
   /// An attempt has reached this node, which stands beside its server.
-  auto run_arrived(std::uint64_t ticket, const call_context& context,
-                   time_point now) -> node_effects;
-
-  /// A request that was allowed to run has ended.
-  auto run_ended(std::uint64_t ticket, const call_answer& answer,
-                 time_point now) -> node_effects;
-
-  /// The backend server beside this node; empty before it announced itself.
-  auto backend() const -> const backend_announcement& { return backend_; }
-
-  /// A fresh request id.
-  auto make_id() -> request_id { return {random_.bits(), random_.bits()}; }
-
-  auto classes() const -> const workload& { return workload_; }
+  auto run_arrived(run_ticket ticket, const call_context& context,
+                   request_fingerprint request, time_point now,
+                   time_point unix_now) -> node_output;
+
+  auto run_ended(run_ticket ticket, const run_report& report, time_point now,
+                 time_point unix_now) -> node_output;
+
+  auto on_message(const node_message& message, time_point now,
+                  time_point unix_now) -> node_output;
+
+  /// Call it every 5 ms or so.
+  auto tick(time_point now, time_point unix_now) -> node_output;
+
+  /// Refuses new work from now on; `drained` tells when all work has ended.
+  auto begin_drain(time_point now) -> node_output;
+  /// Announces that the backend server is gone; final for this life.
+  auto leave(time_point now) -> node_output;
+  [[nodiscard]] auto draining() const -> bool { return server_.draining(); }
+  [[nodiscard]] auto drained() const -> bool {
+    return server_.drained() && entry_.open_calls() == 0;
+  }
+
+  /// Thresholds to send with an answer of this server node: its own and those
+  /// of the services that the request used.
+  auto thresholds(const std::vector<service_name>& downstream, time_point now)
+      -> std::vector<threshold_report>;
+
+  /// Takes note of an answer of `server` and whether it says that it drains.
+  void note_answer(const node_id& server, bool draining, time_point now);
+
+  [[nodiscard]] auto classes() const -> const workload& { return workload_; }
+  [[nodiscard]] auto version() const -> config_version { return version_; }
+  [[nodiscard]] auto runs() const -> const server_runs& { return server_; }
+  [[nodiscard]] auto view() const -> const node_view& { return view_; }
+  [[nodiscard]] auto self() const -> const node_id& { return options_.self; }
+  [[nodiscard]] auto burn() const -> const node_burn& { return burn_; }
+  [[nodiscard]] auto recorder() const -> const key_recorder& {
+    return recorder_;
+  }
+  /// Servers that this node may use, of all services that it calls.
+  auto all_servers(time_point now) -> std::vector<usable_server>;
+
+  /// Takes over configuration and burn counts from an earlier life.
+  void adopt(const node_core& earlier);
 
  private:
+  /// A downstream call whose parent runs on the backend server of this node.
+  struct child_call {
+    std::uint64_t parent = 0;
+    int taken = 0;
+  };
+
+  auto check(const call_context& context, const call_class& its_class,
+             request_fingerprint request, time_point now,
+             time_point unix_now) const -> std::optional<call_answer>;
+  void add(node_output& out, entry_output from, time_point now,
+           time_point unix_now);
+  void add(node_output& out, run_output from, time_point now);
+  void add(node_output& out, recorder_output from);
+  void add(node_output& out, const std::vector<outgoing<heartbeat>>& from);
+  auto announce_state(server_state state, time_point now) -> node_output;
+  void note_end(const ended_call& call, time_point now, time_point unix_now);
+  void refresh_servers(node_output& out, time_point now, time_point unix_now);
+  void send_crash_report(const crash_report& report, node_output& out,
+                         time_point now);
+  void set_group(const group_update& update);
+
+  void handle(const heartbeat_reply& m, node_output& out, time_point now,
+              time_point unix_now);
+  void handle(const record_request& m, node_output& out, time_point now,
+              time_point unix_now);
+  void handle(const record_reply& m, node_output& out, time_point now,
+              time_point unix_now);
+  void handle(const seal_request& m, node_output& out, time_point now,
+              time_point unix_now);
+  void handle(const seal_reply& m, node_output& out, time_point now,
+              time_point unix_now);
+  void handle(const crash_report& m, node_output& out, time_point now,
+              time_point unix_now);
+  void handle(const cancel_request& m, node_output& out, time_point now,
+              time_point unix_now);
+  // Messages that only control members receive.
+  void handle(const heartbeat& m, node_output& out, time_point now,
+              time_point unix_now);
+  void handle(const takeover_done& m, node_output& out, time_point now,
+              time_point unix_now);
+
   node_options options_;
-  workload workload_;
-  backend_announcement backend_;
   random_source random_;
-  int running_ = 0;
+  workload workload_;
+  config_version version_;
+  node_view view_;
+  entry_calls entry_;
+  server_runs server_;
+  key_recorder recorder_;
+  node_burn burn_;
+  std::unordered_map<request_id, child_call> children_;
+  std::map<service_name, std::vector<server>> lists_;
+  time_point next_refresh_;
 };
 
+/// A recorder group as bytes of the replicated configuration, and back.
+auto encode(const recorder_group& group) -> std::string;
+auto decode_group(const std::string& bytes) -> result<recorder_group>;
+
 }  // namespace figwind
--- a/include/figwind/node_view.h
+++ b/include/figwind/node_view.h
@@ -78,6 +78,13 @@
   void announce(server_state state, std::uint32_t slots,
                 std::uint32_t connections);
 
+  /// Sets the service of the node's own backend server, which the node learns
+  /// when that server announces itself.
+  void set_service(const service_name& service) {
+    urgent_ = urgent_ || self_.service != service;
+    self_.service = service;
+  }
+
   /// True when the node's own backend server takes new work.
   [[nodiscard]] auto accepts_work() const -> bool {
     return self_.state == server_state::serving;
--- /dev/null
+++ b/include/figwind/server_runs.h
@@ -0,0 +1,203 @@
+// The requests that one node handles as the server node: the queue in front of
+// the backend server beside it, at-most-once recording, crash suspects and the
+// retry allowances of running requests.
+
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "figwind/admission.h"
+#include "figwind/call.h"
+#include "figwind/crash_guard.h"
+#include "figwind/ids.h"
+#include "figwind/outgoing.h"
+#include "figwind/random.h"
+#include "figwind/record_client.h"
+#include "figwind/retry.h"
+#include "figwind/run_queue.h"
+#include "figwind/units.h"
+
+namespace figwind {
+
+/// What a backend server says of itself to the node beside it.
+struct backend_announcement {
+  service_name service;
+  /// HTTP address of the backend server.
+  vm_address address;
+  /// Requests that it can run at once.
+  int slots = 0;
+  /// Connections that it accepts.
+  int connections = 0;
+
+  friend auto operator==(const backend_announcement&,
+                         const backend_announcement&) -> bool = default;
+};
+
+/// Number of one attempt that has reached its server node; unique there.
+using run_ticket = std::uint64_t;
+
+enum class run_step_kind : std::uint8_t {
+  /// Run it: send `context` to the backend server, then report `ended`.
+  run,
+  /// Answer the entry node; nothing more follows.
+  answer,
+  /// The backend server is told that nobody waits for the request.
+  cancel,
+};
+
+struct run_step {
+  run_ticket ticket = 0;
+  run_step_kind kind = run_step_kind::answer;
+  /// With `run`: the context for the backend server, with the time left.
+  call_context context;
+  call_status status = call_status::not_run;
+  refusal reason = refusal::none;
+  /// With `answer`: true when `answer` is the recorded answer of an earlier
+  /// run and not that of this one.
+  bool recorded = false;
+  std::string answer;
+  /// Unspent part of the retry allowance.
+  int returned_allowance = 0;
+  /// Services that the request used below this one.
+  std::vector<service_name> downstream;
+};
+
+/// What a server node has to do.
+struct run_output {
+  std::vector<run_step> steps;
+  std::vector<outgoing<record_request>> records;
+  /// For the other servers of this service.
+  std::vector<crash_report> crash_reports;
+};
+
+/// How a run ended on the backend server.
+struct run_report {
+  call_status status = call_status::complete;
+  /// True when the backend server went away while it ran the request.
+  bool crashed = false;
+  /// The answer of the backend server, kept for resends of a keyed request.
+  std::string answer;
+};
+
+struct server_runs_options {
+  node_id self;
+  std::uint32_t groups_per_domain = 64;
+  run_queue_options queue;
+  record_client_options records;
+};
+
+/// All requests at one server node. Without a backend server, everything is
+/// refused as `no_server`.
+class server_runs {
+ public:
+  server_runs(server_runs_options options, std::uint64_t seed, time_point now);
+
+  /// The backend server is ready; its slots ramp up when it was not before.
+  void announce(const backend_announcement& backend, time_point now);
+
+  /// An attempt has arrived; `request` identifies it over all resends.
+  auto arrived(run_ticket ticket, const call_context& context,
+               request_fingerprint request, time_point now, time_point unix_now)
+      -> run_output;
+
+  /// A request that was told to run has ended.
+  auto ended(run_ticket ticket, const run_report& report, time_point now)
+      -> run_output;
+
+  auto on_record_reply(const record_reply& reply, time_point now) -> run_output;
+
+  /// Nobody waits for `request` any more.
+  auto cancel(const request_id& request, time_point now) -> run_output;
+
+  /// Call it every 5 ms or so.
+  auto tick(time_point now, time_point unix_now) -> run_output;
+
+  void merge(const crash_report& report, time_point now);
+  void set_group(const recorder_group& group) { records_.set_group(group); }
+
+  /// True when the request is refused because it crashed servers.
+  [[nodiscard]] auto is_refused(request_fingerprint request,
+                                time_point now) const -> bool;
+
+  /// Part of the retry allowance of the running request `parent` for one
+  /// downstream call to `service`.
+  auto take_allowance(std::uint64_t parent, const service_name& service,
+                      time_point now) -> int;
+
+  /// A downstream call that took `taken` has ended after `total`.
+  void give_back(std::uint64_t parent, int taken, int returned, duration total,
+                 time_point now);
+
+  /// From now on everything new is refused as `draining`.
+  void begin_drain();
+  [[nodiscard]] auto draining() const -> bool { return draining_; }
+  /// True when draining and no request is queued or running.
+  [[nodiscard]] auto drained() const -> bool;
+
+  [[nodiscard]] auto threshold() const -> threshold_report;
+  [[nodiscard]] auto backend() const -> const backend_announcement& {
+    return backend_;
+  }
+  /// True from an announcement until the backend server crashes.
+  [[nodiscard]] auto available() const -> bool { return available_; }
+  [[nodiscard]] auto in_flight() const -> int;
+  [[nodiscard]] auto limit(time_point now) const -> int;
+
+ private:
+  enum class run_phase : std::uint8_t { queued, recording, running };
+
+  struct live_run {
+    call_context context;
+    request_fingerprint request;
+    time_point deadline;
+    call_ticket queue_ticket;
+    run_phase phase = run_phase::queued;
+    attempt_id attempt{};
+    parent_token parent = 0;
+    duration downstream{};
+    std::set<service_name> services{};
+  };
+  struct held_run {
+    run_ticket ticket = 0;
+    call_context context;
+    request_fingerprint request;
+    time_point deadline;
+  };
+
+  void enqueue(const held_run& run, time_point now, run_output& out);
+  void start(run_ticket ticket, time_point now, time_point unix_now,
+             run_output& out);
+  void run(run_ticket ticket, live_run& x, time_point now, run_output& out);
+  void drain_queue(time_point now, run_output& out);
+  void decide(const record_output& records, time_point now, run_output& out);
+  void settle(const record_decision& decision, time_point now, run_output& out);
+  void close(run_ticket ticket, live_run& x, run_step answer, time_point now,
+             run_output& out);
+  void refuse(run_ticket ticket, const call_context& context, refusal reason,
+              run_output& out) const;
+  void retry_held(time_point now, run_output& out);
+  void note_crash(time_point now, run_output& out);
+
+  server_runs_options options_;
+  random_source random_;
+  crash_guard guard_;
+  record_client records_;
+  allowance_ledger ledger_;
+  backend_announcement backend_;
+  std::unique_ptr<run_queue> queue_;
+  bool available_ = false;
+  bool draining_ = false;
+  time_point unix_now_;
+  std::unordered_map<run_ticket, live_run> runs_;
+  std::unordered_map<std::uint64_t, run_ticket> by_queue_ticket_;
+  std::unordered_map<std::uint64_t, run_ticket> by_attempt_;
+  std::unordered_map<parent_token, run_ticket> by_parent_;
+  std::vector<held_run> held_;
+};
+
+}  // namespace figwind
--- a/include/figwind/settings.h
+++ b/include/figwind/settings.h
@@ -12,10 +12,11 @@
 
 namespace figwind {
 
-/// A control member as the settings name it: `ID@address`.
+/// A control member as the settings name it: `ID@address/failure domain`.
 struct control_peer {
   std::uint64_t id = 0;
   vm_address address;
+  failure_domain domain;
 
   friend auto operator==(const control_peer&, const control_peer&)
       -> bool = default;
--- a/src/adapters/call_headers.h
+++ b/src/adapters/call_headers.h
@@ -8,8 +8,11 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
+#include "figwind/admission.h"
 #include "figwind/call.h"
+#include "figwind/call_state.h"
 
 namespace figwind {
 
@@ -27,6 +30,7 @@
 inline constexpr auto allowance = "Figwind-Retry-Allowance";
 inline constexpr auto pressure = "Figwind-Pressure";
 inline constexpr auto state = "Figwind-State";
+inline constexpr auto sending = "Figwind-Sending";
 }  // namespace header_name
 
 /// `id` as 32 hexadecimal digits.
@@ -41,6 +45,22 @@
 /// The reverse of `to_header`; nothing when a part is missing or malformed.
 auto parse_context(const std::string& text) -> std::optional<call_context>;
 
+/// Writes all of `head` as headers; `thresholds` are left out when empty.
+auto to_headers(const answer_head& head,
+                const std::vector<threshold_report>& thresholds, bool draining)
+    -> httplib::Headers;
+
+/// The reverse of `to_headers`; nothing when a part is missing or malformed.
+auto parse_head(const httplib::Headers& headers) -> std::optional<answer_head>;
+
+/// Thresholds in `headers`; empty when there are none or they are malformed.
+auto parse_thresholds(const httplib::Headers& headers)
+    -> std::vector<threshold_report>;
+
+/// The value of header `name`, or an empty string.
+auto find_header(const httplib::Headers& headers, const std::string& name)
+    -> std::string;
+
 /// Checksum of a body (xxHash, 64 bits).
 auto checksum(const std::string& body) -> std::uint64_t;
 
--- a/src/adapters/call_server.h
+++ b/src/adapters/call_server.h
@@ -5,12 +5,13 @@
 
 #include <httplib.h>
 
-#include <atomic>
+#include <mutex>
 #include <string>
 #include <thread>
 
 #include "adapters/http_client.h"
 #include "adapters/node_actor.h"
+#include "adapters/thread_pool.h"
 #include "figwind/settings.h"
 
 namespace figwind {
@@ -27,21 +28,40 @@
   call_server(call_server&&) = delete;
   auto operator=(call_server&&) -> call_server& = delete;
 
+  /// Tells the backend server that nobody waits for the request; returns at
+  /// once.
+  void cancel(const call_context& context);
+
  private:
+  /// Answer of a server node, as it goes to the entry node.
+  struct server_answer {
+    answer_head head;
+    std::string body;
+    std::vector<threshold_report> thresholds;
+    bool draining = false;
+  };
+
   void serve_call(const httplib::Request& in, httplib::Response& out);
   void serve_run(const httplib::Request& in, httplib::Response& out);
   void serve_announcement(const httplib::Request& in, httplib::Response& out);
 
-  auto attempt(const attempt_order& order, const std::string& body)
-      -> struct attempt_result;
-  auto attempt_remote(const attempt_order& order, const std::string& body)
-      -> struct attempt_result;
-  auto run(const call_context& context, const std::string& body)
-      -> struct attempt_result;
+  auto attempt(const attempt_order& order, const std::string& body,
+               bool& draining) -> attempt_report;
+  auto attempt_remote(const attempt_order& order, const std::string& body,
+                      bool& draining) -> attempt_report;
+  auto run(const call_context& context, attempt_number number,
+           const std::string& body) -> server_answer;
+  auto run_on_backend(const call_context& context, const std::string& body)
+      -> run_report;
+  void set_backend(const vm_address& address);
+  auto backend() -> vm_address;
 
   const settings& own_;
   node_handle& node_;
   http_client client_;
+  std::mutex mutex_;
+  vm_address backend_;
+  thread_pool cancellations_;
   httplib::Server server_;
   std::thread thread_;
 };
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "adapters/address.h"
+#include "adapters/clock.h"
 
 namespace figwind {
 namespace {
@@ -33,18 +34,16 @@
   return made;
 }
 
-auto was_not_sent(httplib::Error error) -> bool {
-  return error == httplib::Error::Connection ||
-         error == httplib::Error::ConnectionTimeout;
+auto failure(httplib::Error error, bool late) -> http_result {
+  if (error == httplib::Error::Connection ||
+      error == httplib::Error::ConnectionTimeout) {
+    return http_result::not_sent;
+  }
+  return late ? http_result::timed_out : http_result::broken;
 }
 
 }  // namespace
 
-auto header(const http_response& from, const std::string& name) -> std::string {
-  auto found = from.headers.find(name);
-  return found == from.headers.end() ? std::string{} : found->second;
-}
-
 auto http_client::take(const vm_address& to) -> connection {
   {
     auto lock = std::lock_guard{mutex_};
@@ -71,11 +70,11 @@
   auto wait = std::max(timeout.ms, 1.0);
   used->set_read_timeout(std::chrono::microseconds{
       static_cast<std::chrono::microseconds::rep>(wait * 1000)});
+  auto start = steady_now();
   auto got = send(*used);
   if (!got) {
-    auto result =
-        was_not_sent(got.error()) ? http_result::not_sent : http_result::broken;
-    return {result, 0, {}, {}};
+    auto late = steady_now() - start >= timeout;
+    return http_response{failure(got.error(), late), 0, {}, {}};
   }
   auto response = http_response{http_result::answered, got->status,
                                 got->headers, std::move(got->body)};
@@ -91,6 +90,13 @@
   });
 }
 
+auto http_client::can_connect(const vm_address& to) -> bool {
+  auto probe = open(to);
+  auto got = probe->Get("/healthz");
+  return got || (got.error() != httplib::Error::Connection &&
+                 got.error() != httplib::Error::ConnectionTimeout);
+}
+
 auto http_client::get(const vm_address& to, const std::string& path,
                       duration timeout) -> http_response {
   return exchange(to, timeout, [&](httplib::Client& c) { return c.Get(path); });
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -21,8 +21,10 @@
   answered,
   /// No connection could be made: the request was certainly not sent.
   not_sent,
-  /// The connection broke or timed out after sending began.
+  /// The connection broke after sending began.
   broken,
+  /// No whole response came in time.
+  timed_out,
 };
 
 struct http_response {
@@ -32,9 +34,6 @@
   std::string body;
 };
 
-/// The value of header `name`, or an empty string.
-auto header(const http_response& from, const std::string& name) -> std::string;
-
 /// Connections by address; thread-safe. A connection carries one request at a
 /// time and is dropped after any failure, because what is read on it later
 /// could belong to an older request.
@@ -48,6 +47,9 @@
             const httplib::Headers& headers, const std::string& body,
             duration timeout) -> http_response;
 
+  /// True when `to` accepts a new connection.
+  static auto can_connect(const vm_address& to) -> bool;
+
   /// Sends one GET; waits at most `timeout` for the response.
   auto get(const vm_address& to, const std::string& path, duration timeout)
       -> http_response;
--- /dev/null
+++ b/src/adapters/thread_pool.h
@@ -0,0 +1,68 @@
+// A thread pool for cpp-httplib that grows on demand.
+
+#pragma once
+
+#include <httplib.h>
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace figwind {
+
+/// Starts a thread when a task finds none idle, up to a bound. Threads are
+/// kept. cpp-httplib's own pool starts all of them at once; a node has to
+/// allow for more than 620 connections, each of which holds a thread, and
+/// mostly has far fewer.
+class thread_pool : public httplib::TaskQueue {
+ public:
+  explicit thread_pool(std::size_t max_threads) : max_threads_{max_threads} {}
+
+  void enqueue(std::function<void()> task) override {
+    auto lock = std::lock_guard{mutex_};
+    tasks_.push_back(std::move(task));
+    if (tasks_.size() > idle_ && threads_.size() < max_threads_) {
+      threads_.emplace_back([this] { work(); });
+    }
+    wake_.notify_one();
+  }
+
+  void shutdown() override {
+    {
+      auto lock = std::lock_guard{mutex_};
+      closing_ = true;
+    }
+    wake_.notify_all();
+    for (auto& thread : threads_) thread.join();
+    threads_.clear();
+  }
+
+ private:
+  void work() {
+    auto lock = std::unique_lock{mutex_};
+    for (;;) {
+      ++idle_;
+      wake_.wait(lock, [this] { return closing_ || !tasks_.empty(); });
+      --idle_;
+      if (tasks_.empty()) return;
+      auto task = std::move(tasks_.front());
+      tasks_.pop_front();
+      lock.unlock();
+      task();
+      lock.lock();
+    }
+  }
+
+  std::size_t max_threads_;
+  std::mutex mutex_;
+  std::condition_variable wake_;
+  std::deque<std::function<void()>> tasks_;
+  std::vector<std::thread> threads_;
+  std::size_t idle_ = 0;
+  bool closing_ = false;
+};
+
+}  // namespace figwind
--- a/src/decisions/call.cc
+++ b/src/decisions/call.cc
@@ -48,4 +48,13 @@
   return "none";
 }
 
+auto refused_status(const call_context& context) -> call_status {
+  auto certain = context.key.value.empty() || context.first_sending;
+  return certain ? call_status::not_run : call_status::unknown;
+}
+
+auto call_id(const call_context& context) -> request_id {
+  return {context.id.high, context.call};
+}
+
 }  // namespace figwind
--- a/src/decisions/config_store.cc
+++ b/src/decisions/config_store.cc
@@ -1,5 +1,6 @@
 #include "figwind/config_store.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "figwind/bytes.h"
@@ -155,10 +156,11 @@
     return findings{{{}, "the change has an unknown format"}};
   }
   const auto* first = find_answer(change.id);
-  if (first != nullptr) return applied_change{change.id, *first, true};
+  if (first != nullptr)
+    return applied_change{change.id, change.name, *first, true};
   auto answer = decide(change);
   keep_answer(change.id, answer);
-  return applied_change{change.id, std::move(answer), false};
+  return applied_change{change.id, change.name, std::move(answer), false};
 }
 
 auto config_store::decide(const parsed_change& change) -> change_answer {
@@ -182,7 +184,7 @@
   const auto* found = find_record(change.name);
   auto now = found != nullptr ? found->version : 0;
   if (change.base != now) return {change_status::conflict, now, {}, {}};
-  records_[change.name] = {now + 1, change.text};
+  records_[change.name] = {now + 1, change.text, ++record_changes_};
   return {change_status::accepted, now + 1, {}, {}};
 }
 
@@ -231,6 +233,7 @@
     to.put_string(name);
     to.put_u64(record.version);
     to.put_string(record.bytes);
+    to.put_u64(record.sequence);
   }
   to.put_u32(static_cast<std::uint32_t>(order_.size()));
   for (const auto& id : order_) {
@@ -255,7 +258,10 @@
     for (auto i = 0U; i < records && from.good(); ++i) {
       auto name = from.get_string();
       auto version = from.get_u64();
-      next.records_[name] = {version, from.get_string()};
+      auto record_bytes = from.get_string();
+      auto sequence = from.get_u64();
+      next.record_changes_ = std::max(next.record_changes_, sequence);
+      next.records_[name] = {version, std::move(record_bytes), sequence};
     }
     auto answers = from.get_u32();
     for (auto i = 0U; i < answers && from.good(); ++i) {
--- a/src/decisions/ini.cc
+++ b/src/decisions/ini.cc
@@ -40,6 +40,8 @@
       report("", "holds a byte that is not text");
     } else if (!line.empty() && line.front() == '[') {
       add_section(line);
+    } else if (is_continuation(text, line)) {
+      file_.sections.back().entries.back().value += " " + std::string{line};
     } else {
       add_entry(std::string{line});
     }
@@ -48,6 +50,15 @@
   auto take() -> ini_file { return std::move(file_); }
 
  private:
+  /// An indented line goes on with the value before it, so that a list of
+  /// members may be longer than a line.
+  auto is_continuation(std::string_view text, std::string_view line) const
+      -> bool {
+    if (line.empty() || text.front() == line.front()) return false;
+    if (line.front() == ';' || line.front() == '#') return false;
+    return !file_.sections.empty() && !file_.sections.back().entries.empty();
+  }
+
   void add_section(std::string_view line) {
     auto end = line.find(']');
     auto rest = end == std::string_view::npos ? line : line.substr(end + 1);
--- a/src/decisions/node_core.cc
+++ b/src/decisions/node_core.cc
@@ -1,59 +1,297 @@
 #include "figwind/node_core.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "figwind/retry.h"
+
 namespace figwind {
 namespace {
 
-auto refuse(const request_id& id, refusal reason) -> node_effects {
-  return {call_effect{id, call_answer{call_status::not_run, reason}}};
+// Server lists change within a heartbeat; a draining or silent server must
+// leave them well within 3 s.
+constexpr auto refresh_period = milliseconds(100);
+
+auto own_record(const node_options& options) -> server_record {
+  auto self = server_record{};
+  self.node = options.self;
+  self.domain = options.domain;
+  self.call_address = options.call_address;
+  return self;
+}
+
+auto run_options(const node_options& options) -> server_runs_options {
+  auto x = server_runs_options{};
+  x.self = options.self;
+  return x;
+}
+
+auto usable_list(const std::vector<usable_server>& all) -> std::vector<server> {
+  auto any_confirmed = std::any_of(all.begin(), all.end(),
+                                   [](const auto& x) { return x.confirmed; });
+  auto list = std::vector<server>{};
+  for (const auto& x : all) {
+    if (any_confirmed && !x.confirmed) continue;
+    const auto& s = x.server;
+    list.push_back({s.node, s.call_address, s.domain, static_cast<int>(s.slots),
+                    static_cast<int>(s.connections), false});
+  }
+  return list;
+}
+
+auto answer_of(const call_context& context, call_status status, refusal reason)
+    -> call_answer {
+  return {status, reason, 0, context.retry_allowance};
 }
 
 }  // namespace
 
-node_core::node_core(node_options options)
-    : options_{std::move(options)}, random_{options_.seed} {}
+node_core::node_core(node_options options, time_point now)
+    : options_{std::move(options)},
+      random_{options_.seed},
+      view_{own_record(options_), options_.members, options_.view,
+            random_source{random_.bits()}},
+      entry_{{options_.self, options_.call_address, options_.domain},
+             random_.bits()},
+      server_{run_options(options_), random_.bits(), now},
+      recorder_{options_.self, {}} {}
+
+auto node_core::put_in_force(config_version version, const std::string& text)
+    -> findings {
+  auto is_first = version.value == 0 && version_.value == 0;
+  if (!is_first && version <= version_) return {};
+  auto parsed = parse_workload("configuration", text);
+  if (!ok(parsed)) return errors(parsed);
+  workload_ = value(std::move(parsed));
+  version_ = version;
+  if (version.value != 0) view_.note_in_force(version);
+  return {};
+}
+
+auto node_core::announce(const backend_announcement& backend, time_point now)
+    -> node_output {
+  server_.announce(backend, now);
+  view_.set_service(backend.service);
+  return announce_state(server_state::serving, now);
+}
+
+auto node_core::announce_state(server_state state, time_point now)
+    -> node_output {
+  auto out = node_output{};
+  const auto& backend = server_.backend();
+  view_.announce(state, static_cast<std::uint32_t>(backend.slots),
+                 static_cast<std::uint32_t>(backend.connections));
+  add(out, view_.on_tick(now));
+  return out;
+}
+
+auto node_core::check(const call_context& context, const call_class& its_class,
+                      request_fingerprint request, time_point now,
+                      time_point unix_now) const -> std::optional<call_answer> {
+  if (server_.is_refused(request, now)) {
+    return answer_of(context, call_status::failed, refusal::repeated_crash);
+  }
+  if (its_class.idempotent && context.key.value.empty()) return std::nullopt;
+  switch (check_key(context.key, unix_now, options_.keys)) {
+    case key_state::good:
+      return std::nullopt;
+    case key_state::malformed:
+      return answer_of(context, call_status::not_run, refusal::bad_key);
+    // It may have run while the key was good, or by a clock that is ahead.
+    case key_state::expired:
+    case key_state::future:
+      break;
+  }
+  return answer_of(context, call_status::unknown, refusal::expired_key);
+}
+
+auto node_core::call_arrived(call_context context, request_fingerprint request,
+                             time_point now, time_point unix_now)
+    -> node_output {
+  auto out = node_output{};
+  const auto* its_class = find_class(workload_, context.name);
+  if (its_class == nullptr) {
+    out.calls.push_back(
+        {call_id(context),
+         answer_of(context, call_status::not_run, refusal::unknown_class)});
+    return out;
+  }
+  if (context.depth == 0) {
+    context.importance = its_class->importance;
+    context.retry_allowance = chain_retry_bound;
+    context.origin = options_.domain;
+  } else {
+    context.retry_allowance =
+        server_.take_allowance(context.parent, its_class->service, now);
+    children_[call_id(context)] = {context.parent, context.retry_allowance};
+  }
+  if (its_class->idempotent) context.key = {};
+  auto refused = check(context, *its_class, request, now, unix_now);
+  if (refused) {
+    note_end({context, *refused, {}, 0, its_class->service}, now, unix_now);
+    out.calls.push_back({call_id(context), *refused});
+    return out;
+  }
+  const auto& service = its_class->service;
+  lists_.try_emplace(service);
+  // Asks for the list of a service that is called for the first time.
+  view_.servers(service, now);
+  auto known = view_.knows(service);
+  if (!known) add(out, view_.on_tick(now));
+  add(out, entry_.arrived(context, *its_class, known, now), now, unix_now);
+  return out;
+}
+
+auto node_core::attempt_ended(const attempt_report& report, time_point now,
+                              time_point unix_now) -> node_output {
+  auto out = node_output{};
+  add(out, entry_.attempt_ended(report, now), now, unix_now);
+  return out;
+}
+
+auto node_core::run_arrived(run_ticket ticket, const call_context& context,
+                            request_fingerprint request, time_point now,
+                            time_point unix_now) -> node_output {
+  auto out = node_output{};
+  add(out, server_.arrived(ticket, context, request, now, unix_now), now);
+  return out;
+}
+
+auto node_core::run_ended(run_ticket ticket, const run_report& report,
+                          time_point now, time_point /*unix_now*/)
+    -> node_output {
+  auto out = node_output{};
+  add(out, server_.ended(ticket, report, now), now);
+  return out;
+}
+
+auto node_core::begin_drain(time_point now) -> node_output {
+  server_.begin_drain();
+  return announce_state(server_state::draining, now);
+}
+
+auto node_core::leave(time_point now) -> node_output {
+  return announce_state(server_state::gone, now);
+}
 
-void node_core::set_workload(workload classes) {
-  workload_ = std::move(classes);
+auto node_core::thresholds(const std::vector<service_name>& downstream,
+                           time_point now) -> std::vector<threshold_report> {
+  auto reports = entry_.relay(downstream, now);
+  reports.insert(reports.begin(), server_.threshold());
+  return reports;
 }
 
-void node_core::announce(const backend_announcement& backend) {
-  backend_ = backend;
+void node_core::note_answer(const node_id& server, bool draining,
+                            time_point now) {
+  view_.note_answer(server, now, draining);
 }
 
-auto node_core::call_arrived(const call_context& context, time_point /*now*/)
-    -> node_effects {
-  const auto* found = find_class(workload_, context.name);
-  if (found == nullptr) return refuse(context.id, refusal::unknown_class);
-  if (found->service != backend_.service) {
-    return refuse(context.id, refusal::no_server);
+auto node_core::all_servers(time_point now) -> std::vector<usable_server> {
+  auto all = std::vector<usable_server>{};
+  for (const auto& [service, list] : lists_) {
+    auto usable = view_.servers(service, now);
+    all.insert(all.end(), usable.begin(), usable.end());
   }
-  auto order = attempt_order{1, options_.call_address, true, context};
-  return {call_effect{context.id, order}};
+  return all;
 }
 
-auto node_core::attempt_ended(const attempt_report& report, time_point /*now*/)
-    -> node_effects {
-  return {call_effect{report.id, report.answer}};
+void node_core::adopt(const node_core& earlier) {
+  workload_ = earlier.workload_;
+  version_ = earlier.version_;
+  burn_ = earlier.burn_;
+  if (version_.value != 0) view_.note_in_force(version_);
 }
 
-auto node_core::run_arrived(std::uint64_t ticket,
-                            const call_context& /*context*/, time_point /*now*/)
-    -> node_effects {
-  if (running_ >= backend_.slots) {
-    return {
-        run_effect{ticket, false, {call_status::not_run, refusal::overload}}};
+auto node_core::tick(time_point now, time_point unix_now) -> node_output {
+  auto out = node_output{};
+  if (now >= next_refresh_) {
+    next_refresh_ = now + refresh_period;
+    refresh_servers(out, now, unix_now);
+    add(out, view_.on_tick(now));
+    add(out, recorder_.on_tick(now, unix_now));
   }
-  ++running_;
-  return {run_effect{ticket, true, {}}};
+  add(out, entry_.tick(now), now, unix_now);
+  add(out, server_.tick(now, unix_now), now);
+  return out;
 }
 
-auto node_core::run_ended(std::uint64_t /*ticket*/,
-                          const call_answer& /*answer*/, time_point /*now*/)
-    -> node_effects {
-  --running_;
-  return {};
+void node_core::refresh_servers(node_output& out, time_point now,
+                                time_point unix_now) {
+  for (auto& [service, list] : lists_) {
+    auto usable = usable_list(view_.servers(service, now));
+    if (!view_.knows(service)) continue;
+    auto unchanged = !list.empty() && usable == list;
+    if (unchanged) continue;
+    list = std::move(usable);
+    add(out, entry_.set_servers(service, list, now), now, unix_now);
+  }
+}
+
+void node_core::note_end(const ended_call& call, time_point now,
+                         time_point unix_now) {
+  const auto& context = call.context;
+  if (context.depth > 0) {
+    auto found = children_.find(call_id(context));
+    if (found == children_.end()) return;
+    server_.give_back(found->second.parent, found->second.taken,
+                      call.answer.returned_allowance, call.total, now);
+    children_.erase(found);
+    return;
+  }
+  const auto* its_class = find_class(workload_, context.name);
+  if (its_class == nullptr) return;
+  auto spent = context.retry_allowance - call.answer.returned_allowance;
+  record(burn_, *its_class,
+         {call.answer.status, call.total, call.answer.reason, call.service,
+          static_cast<std::uint64_t>(std::max(spent, 0)),
+          static_cast<std::uint64_t>(context.retry_allowance)},
+         unix_now);
+}
+
+void node_core::add(node_output& out, entry_output from, time_point now,
+                    time_point unix_now) {
+  for (auto& step : from.steps) out.calls.push_back(std::move(step));
+  for (const auto& cancel : from.cancels) {
+    out.messages.push_back(
+        {cancel.server.address, cancel_request{cancel.request}});
+  }
+  for (auto& call : entry_.take_ended()) {
+    note_end(call, now, unix_now);
+    out.ended.push_back(std::move(call));
+  }
+}
+
+void node_core::add(node_output& out, run_output from, time_point now) {
+  for (auto& step : from.steps) out.runs.push_back(std::move(step));
+  for (auto& x : from.records) {
+    out.messages.push_back({x.to, std::move(x.message)});
+  }
+  for (const auto& x : from.crash_reports) send_crash_report(x, out, now);
+}
+
+void node_core::add(node_output& out, recorder_output from) {
+  for (auto& x : from.seals) {
+    out.messages.push_back({x.to, std::move(x.message)});
+  }
+  auto leader = view_.leader();
+  if (leader.value.empty()) return;
+  for (auto& x : from.takeovers) {
+    out.messages.push_back({leader, std::move(x)});
+  }
+}
+
+void node_core::add(node_output& out,
+                    const std::vector<outgoing<heartbeat>>& from) {
+  for (const auto& x : from) out.messages.push_back({x.to, x.message});
+}
+
+void node_core::send_crash_report(const crash_report& report, node_output& out,
+                                  time_point now) {
+  // A request can be resent to any server of the service, so all learn of it.
+  for (const auto& x : view_.servers(server_.backend().service, now)) {
+    if (x.server.node == options_.self) continue;
+    out.messages.push_back({x.server.node.address, report});
+  }
 }
 
 }  // namespace figwind
--- /dev/null
+++ b/src/decisions/node_messages.cc
@@ -0,0 +1,132 @@
+// How a node handles each message; part of node_core.
+
+#include <utility>
+
+#include "figwind/bytes.h"
+#include "figwind/node_core.h"
+
+namespace figwind {
+namespace {
+
+constexpr auto group_format = std::uint8_t{1};
+constexpr auto max_recorders = std::uint32_t{16};
+
+void put(byte_writer& to, const node_id& x) {
+  to.put_string(x.address.value);
+  to.put_u64(x.start.value);
+}
+
+auto get_node(byte_reader& from) -> node_id {
+  auto address = from.get_string();
+  auto start = from.get_u64();
+  return {{std::move(address)}, {start}};
+}
+
+}  // namespace
+
+auto encode(const recorder_group& group) -> std::string {
+  auto to = byte_writer{};
+  to.put_u8(group_format);
+  to.put_string(group.domain.value);
+  to.put_u32(group.index);
+  to.put_u64(group.epoch);
+  to.put_u32(static_cast<std::uint32_t>(group.recorders.size()));
+  for (const auto& recorder : group.recorders) put(to, recorder);
+  put(to, group.joined);
+  put(to, group.joining);
+  put(to, group.leaving);
+  to.put_double(group.not_before);
+  return to.take();
+}
+
+auto decode_group(const std::string& bytes) -> result<recorder_group> {
+  auto from = byte_reader{bytes};
+  auto group = recorder_group{};
+  auto format = from.get_u8();
+  group.domain.value = from.get_string();
+  group.index = from.get_u32();
+  group.epoch = from.get_u64();
+  auto count = from.get_u32();
+  if (format != group_format || count > max_recorders) {
+    return findings{{{}, "a recorder group record has another format"}};
+  }
+  for (auto i = 0U; i < count; ++i) group.recorders.push_back(get_node(from));
+  group.joined = get_node(from);
+  group.joining = get_node(from);
+  group.leaving = get_node(from);
+  group.not_before = from.get_double();
+  if (!from.complete()) {
+    return findings{{{}, "a recorder group record has a wrong length"}};
+  }
+  return group;
+}
+
+auto node_core::on_message(const node_message& message, time_point now,
+                           time_point unix_now) -> node_output {
+  auto out = node_output{};
+  std::visit([&](const auto& m) { handle(m, out, now, unix_now); }, message);
+  return out;
+}
+
+void node_core::handle(const heartbeat_reply& m, node_output& out,
+                       time_point now, time_point unix_now) {
+  auto effect = view_.on_reply(m, now);
+  add(out, effect.heartbeats);
+  for (const auto& config : effect.configs) {
+    auto found = put_in_force(config.version, config.text);
+    if (found.empty() && version_ == config.version) {
+      out.in_force = config.version;
+    }
+  }
+  for (const auto& update : effect.groups) set_group(update);
+  refresh_servers(out, now, unix_now);
+}
+
+void node_core::set_group(const group_update& update) {
+  auto group = decode_group(update.record);
+  if (!ok(group)) return;
+  auto current = value(std::move(group));
+  current.version = update.version;
+  recorder_.set_group(current);
+  server_.set_group(current);
+}
+
+void node_core::handle(const record_request& m, node_output& out,
+                       time_point /*now*/, time_point unix_now) {
+  auto reply = recorder_.on_request(m, unix_now);
+  out.messages.push_back({reply.to, std::move(reply.message)});
+}
+
+void node_core::handle(const record_reply& m, node_output& out, time_point now,
+                       time_point /*unix_now*/) {
+  add(out, server_.on_record_reply(m, now), now);
+}
+
+void node_core::handle(const seal_request& m, node_output& out,
+                       time_point /*now*/, time_point unix_now) {
+  auto reply = recorder_.on_seal(m, unix_now);
+  if (reply) out.messages.push_back({reply->to, std::move(reply->message)});
+}
+
+void node_core::handle(const seal_reply& m, node_output& out, time_point now,
+                       time_point /*unix_now*/) {
+  add(out, recorder_.on_seal_reply(m, now));
+}
+
+void node_core::handle(const crash_report& m, node_output& /*out*/,
+                       time_point now, time_point /*unix_now*/) {
+  server_.merge(m, now);
+}
+
+void node_core::handle(const cancel_request& m, node_output& out,
+                       time_point now, time_point /*unix_now*/) {
+  add(out, server_.cancel(m.request, now), now);
+}
+
+void node_core::handle(const heartbeat& /*m*/, node_output& /*out*/,
+                       time_point /*now*/, time_point /*unix_now*/) {}
+
+void node_core::handle(const takeover_done& /*m*/, node_output& /*out*/,
+                       time_point /*now*/, time_point /*unix_now*/) {}
+
+}  // namespace figwind
--- /dev/null
+++ b/src/decisions/server_runs.cc
@@ -0,0 +1,367 @@
+#include "figwind/server_runs.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace figwind {
+namespace {
+
+// Running requests are bounded by slots; this bound only guards memory.
+constexpr auto ledger_capacity = std::size_t{4096};
+
+// An allowance outlives its request by this much, for late downstream calls.
+constexpr auto ledger_grace = seconds(1);
+
+auto answer_step(run_ticket ticket, call_status status, refusal reason)
+    -> run_step {
+  auto step = run_step{};
+  step.ticket = ticket;
+  step.status = status;
+  step.reason = reason;
+  return step;
+}
+
+auto decided_answer(run_ticket ticket, const record_decision& decision)
+    -> run_step {
+  const auto& outcome = decision.outcome;
+  auto step = answer_step(ticket, outcome.status, decision.reason);
+  if (decision.verdict != record_verdict::done) return step;
+  step.recorded = true;
+  step.answer = outcome.answer;
+  if (outcome.status == call_status::complete && !outcome.has_answer) {
+    // It ran, but the caller cannot be given the complete answer.
+    step.status = call_status::unknown;
+    step.reason = refusal::duplicate;
+  }
+  return step;
+}
+
+template <class T>
+void append(std::vector<T>& to, std::vector<T> from) {
+  std::move(from.begin(), from.end(), std::back_inserter(to));
+}
+
+}  // namespace
+
+server_runs::server_runs(server_runs_options options, std::uint64_t seed,
+                         time_point /*now*/)
+    : options_{std::move(options)},
+      random_{seed},
+      guard_{options_.self},
+      records_{options_.self, options_.groups_per_domain, options_.records},
+      ledger_{ledger_capacity, random_} {}
+
+void server_runs::announce(const backend_announcement& backend,
+                           time_point now) {
+  backend_ = backend;
+  auto slots = std::max(backend.slots, 1);
+  if (queue_ == nullptr) {
+    constexpr auto cold = true;
+    queue_ = std::make_unique<run_queue>(options_.queue, slots, cold, now);
+  } else {
+    queue_->set_slots(slots);
+  }
+  available_ = true;
+}
+
+void server_runs::refuse(run_ticket ticket, const call_context& context,
+                         refusal reason, run_output& out) const {
+  auto step = answer_step(ticket, refused_status(context), reason);
+  step.returned_allowance = context.retry_allowance;
+  out.steps.push_back(std::move(step));
+}
+
+auto server_runs::arrived(run_ticket ticket, const call_context& context,
+                          request_fingerprint request, time_point now,
+                          time_point unix_now) -> run_output {
+  unix_now_ = unix_now;
+  auto out = run_output{};
+  if (draining_) {
+    refuse(ticket, context, refusal::draining, out);
+  } else if (!available_) {
+    refuse(ticket, context, refusal::no_server, out);
+  } else {
+    enqueue({ticket, context, request, now + context.time_left}, now, out);
+    drain_queue(now, out);
+  }
+  return out;
+}
+
+void server_runs::enqueue(const held_run& run, time_point now,
+                          run_output& out) {
+  auto permit = guard_.may_run(run.request, now);
+  if (permit == run_permit::refuse) {
+    out.steps.push_back(
+        answer_step(run.ticket, call_status::failed, refusal::repeated_crash));
+    return;
+  }
+  if (permit == run_permit::wait) {
+    held_.push_back(run);
+    return;
+  }
+  auto context = run.context;
+  context.time_left = run.deadline - now;
+  auto arrival = queue_->arrive(context, now);
+  if (arrival.verdict == arrival_verdict::refused) {
+    refuse(run.ticket, context, arrival.reason, out);
+    return;
+  }
+  auto x = live_run{context, run.request, run.deadline, arrival.ticket};
+  by_queue_ticket_[arrival.ticket.value] = run.ticket;
+  runs_.emplace(run.ticket, std::move(x));
+  if (arrival.verdict == arrival_verdict::start) {
+    start(run.ticket, now, unix_now_, out);
+  }
+}
+
+void server_runs::start(run_ticket ticket, time_point now, time_point unix_now,
+                        run_output& out) {
+  auto& x = runs_.at(ticket);
+  // A crash may have made it a suspect while it was queued.
+  auto permit = guard_.may_run(x.request, now);
+  if (permit == run_permit::refuse) {
+    close(ticket, x,
+          answer_step(ticket, call_status::failed, refusal::repeated_crash),
+          now, out);
+    return;
+  }
+  guard_.started(x.request, now);
+  if (x.context.key.value.empty()) {
+    run(ticket, x, now, out);
+    return;
+  }
+  x.phase = run_phase::recording;
+  auto attempt = attempt_id{};
+  auto records = records_.begin(x.context.key, !x.context.first_sending, now,
+                                unix_now, attempt);
+  x.attempt = attempt;
+  by_attempt_[attempt.number] = ticket;
+  decide(records, now, out);
+}
+
+void server_runs::run(run_ticket ticket, live_run& x, time_point now,
+                      run_output& out) {
+  x.phase = run_phase::running;
+  x.parent =
+      ledger_.open(x.context.retry_allowance, now, x.deadline + ledger_grace);
+  if (x.parent != 0) by_parent_[x.parent] = ticket;
+  auto step = run_step{};
+  step.ticket = ticket;
+  step.kind = run_step_kind::run;
+  step.context = x.context;
+  step.context.time_left = x.deadline - now;
+  step.context.parent = x.parent;
+  out.steps.push_back(std::move(step));
+}
+
+void server_runs::decide(const record_output& records, time_point now,
+                         run_output& out) {
+  append(out.records, records.requests);
+  for (const auto& decision : records.decisions) settle(decision, now, out);
+}
+
+void server_runs::settle(const record_decision& decision, time_point now,
+                         run_output& out) {
+  auto found = by_attempt_.find(decision.attempt.number);
+  if (found == by_attempt_.end()) return;
+  auto ticket = found->second;
+  auto& x = runs_.at(ticket);
+  if (decision.verdict != record_verdict::first) {
+    guard_.finished(x.request, false, now);
+    close(ticket, x, decided_answer(ticket, decision), now, out);
+    return;
+  }
+  if (now < x.deadline && available_) {
+    run(ticket, x, now, out);
+    return;
+  }
+  auto records = record_output{};
+  auto status = records_.abandon(x.attempt, false, now, records);
+  append(out.records, std::move(records.requests));
+  guard_.finished(x.request, false, now);
+  auto reason = available_ ? refusal::deadline : refusal::no_server;
+  close(ticket, x, answer_step(ticket, status, reason), now, out);
+}
+
+auto server_runs::ended(run_ticket ticket, const run_report& report,
+                        time_point now) -> run_output {
+  auto out = run_output{};
+  auto found = runs_.find(ticket);
+  if (found == runs_.end()) return out;
+  auto& x = found->second;
+  auto answer = answer_step(ticket, report.status, refusal::none);
+  auto ran = report.status != call_status::not_run;
+  if (!x.context.key.value.empty()) {
+    auto records = record_output{};
+    if (ran) {
+      auto fits =
+          report.status == call_status::complete &&
+          report.answer.size() <= options_.records.recorders.answer_bytes;
+      records = records_.finish(
+          x.attempt, {report.status, fits, fits ? report.answer : ""},
+          report.crashed, now);
+    } else {
+      answer.status = records_.abandon(x.attempt, report.crashed, now, records);
+    }
+    append(out.records, std::move(records.requests));
+  }
+  if (!ran) answer.reason = refusal::no_server;
+  if (report.crashed) {
+    note_crash(now, out);
+  } else {
+    guard_.finished(x.request, ran, now);
+  }
+  close(ticket, x, std::move(answer), now, out);
+  retry_held(now, out);
+  drain_queue(now, out);
+  return out;
+}
+
+void server_runs::note_crash(time_point now, run_output& out) {
+  // All requests that ran then report the same crash; it counts once.
+  if (!available_) return;
+  available_ = false;
+  out.crash_reports.push_back(guard_.crashed(now));
+}
+
+void server_runs::close(run_ticket ticket, live_run& x, run_step answer,
+                        time_point now, run_output& out) {
+  answer.returned_allowance = x.phase == run_phase::running
+                                  ? ledger_.close(x.parent, now)
+                                  : x.context.retry_allowance;
+  answer.downstream.assign(x.services.begin(), x.services.end());
+  if (x.phase == run_phase::running) by_parent_.erase(x.parent);
+  by_attempt_.erase(x.attempt.number);
+  by_queue_ticket_.erase(x.queue_ticket.value);
+  queue_->finish(x.queue_ticket, now, {answer.status, x.downstream});
+  out.steps.push_back(std::move(answer));
+  runs_.erase(ticket);
+}
+
+void server_runs::drain_queue(time_point now, run_output& out) {
+  auto actions = queue_->tick(now);
+  while (!actions.start.empty() || !actions.refused.empty()) {
+    for (const auto& refused : actions.refused) {
+      auto found = by_queue_ticket_.find(refused.ticket.value);
+      if (found == by_queue_ticket_.end()) continue;
+      auto ticket = found->second;
+      refuse(ticket, runs_.at(ticket).context, refused.reason, out);
+      by_queue_ticket_.erase(found);
+      runs_.erase(ticket);
+    }
+    for (const auto& started : actions.start) {
+      auto found = by_queue_ticket_.find(started.value);
+      if (found != by_queue_ticket_.end()) {
+        start(found->second, now, unix_now_, out);
+      }
+    }
+    actions = queue_->tick(now);
+  }
+}
+
+void server_runs::retry_held(time_point now, run_output& out) {
+  auto held = std::exchange(held_, {});
+  for (auto& run : held) {
+    if (now >= run.deadline || !available_) {
+      auto reason = available_ ? refusal::deadline : refusal::no_server;
+      refuse(run.ticket, run.context, reason, out);
+    } else {
+      enqueue(run, now, out);
+    }
+  }
+}
+
+auto server_runs::on_record_reply(const record_reply& reply, time_point now)
+    -> run_output {
+  auto out = run_output{};
+  decide(records_.on_reply(reply, now), now, out);
+  if (queue_ != nullptr) drain_queue(now, out);
+  return out;
+}
+
+auto server_runs::cancel(const request_id& request, time_point now)
+    -> run_output {
+  auto out = run_output{};
+  if (queue_ == nullptr) return out;
+  auto cancelled = queue_->cancel(request, now);
+  for (const auto& removed : cancelled.removed) {
+    auto found = by_queue_ticket_.find(removed.value);
+    if (found == by_queue_ticket_.end()) continue;
+    auto ticket = found->second;
+    refuse(ticket, runs_.at(ticket).context, refusal::deadline, out);
+    by_queue_ticket_.erase(found);
+    runs_.erase(ticket);
+  }
+  for (const auto& running : cancelled.running) {
+    auto found = by_queue_ticket_.find(running.value);
+    if (found == by_queue_ticket_.end()) continue;
+    auto& x = runs_.at(found->second);
+    if (x.phase != run_phase::running) continue;
+    auto step = run_step{};
+    step.ticket = found->second;
+    step.kind = run_step_kind::cancel;
+    step.context = x.context;
+    out.steps.push_back(std::move(step));
+  }
+  return out;
+}
+
+auto server_runs::tick(time_point now, time_point unix_now) -> run_output {
+  unix_now_ = unix_now;
+  auto out = run_output{};
+  decide(records_.on_tick(now), now, out);
+  if (!held_.empty()) retry_held(now, out);
+  if (queue_ != nullptr) drain_queue(now, out);
+  return out;
+}
+
+void server_runs::merge(const crash_report& report, time_point now) {
+  guard_.merge(report, now);
+}
+
+auto server_runs::is_refused(request_fingerprint request, time_point now) const
+    -> bool {
+  return guard_.refused(request, now);
+}
+
+auto server_runs::take_allowance(std::uint64_t parent,
+                                 const service_name& service, time_point now)
+    -> int {
+  auto found = by_parent_.find(parent);
+  if (found == by_parent_.end()) return 0;
+  runs_.at(found->second).services.insert(service);
+  return ledger_.take(parent, now);
+}
+
+void server_runs::give_back(std::uint64_t parent, int taken, int returned,
+                            duration total, time_point now) {
+  auto found = by_parent_.find(parent);
+  if (found == by_parent_.end()) return;
+  auto& x = runs_.at(found->second);
+  x.downstream = x.downstream + total;
+  ledger_.give_back(parent, taken, returned, now);
+}
+
+void server_runs::begin_drain() {
+  draining_ = true;
+  if (queue_ != nullptr) queue_->begin_drain();
+}
+
+auto server_runs::drained() const -> bool {
+  return draining_ && runs_.empty() && held_.empty();
+}
+
+auto server_runs::threshold() const -> threshold_report {
+  return {backend_.service, options_.self.address,
+          queue_ == nullptr ? open_threshold : queue_->threshold()};
+}
+
+auto server_runs::in_flight() const -> int {
+  return queue_ == nullptr ? 0 : queue_->in_flight();
+}
+
+auto server_runs::limit(time_point now) const -> int {
+  return queue_ == nullptr ? 0 : queue_->limit(now);
+}
+
+}  // namespace figwind
--- a/src/decisions/settings.cc
+++ b/src/decisions/settings.cc
@@ -70,11 +70,13 @@
     item.erase(0, item.find_first_not_of(' '));
     item.erase(item.find_last_not_of(' ') + 1);
     auto at = item.find('@');
-    if (at == std::string::npos) return false;
+    auto slash = item.rfind('/');
+    if (at == std::string::npos || slash == std::string::npos) return false;
+    if (slash < at || slash + 1 == item.size()) return false;
     auto id = parse_whole(item.substr(0, at));
-    auto address = parse_address(item.substr(at + 1));
+    auto address = parse_address(item.substr(at + 1, slash - at - 1));
     if (!id || *id < 1 || !address) return false;
-    members.push_back({*id, *address});
+    members.push_back({*id, *address, {item.substr(slash + 1)}});
   }
   to.members = std::move(members);
   return !to.members.empty();
@@ -105,7 +107,8 @@
        {set_text(&settings::data_folder), "must be a path"}},
       {"control.member_id", {set_member_id, "must be a whole number from 1"}},
       {"control.members",
-       {set_members, "must be a list as in 1@10.0.0.1:7101, 2@10.0.1.1:7101"}},
+       {set_members,
+        "must be a list as in 1@10.0.0.1:7101/east, 2@10.0.1.1:7101/west"}},
   };
   return all;
 }
--- a/src/programs/figwind-demo.cc
+++ b/src/programs/figwind-demo.cc
@@ -11,7 +11,9 @@
 #include <string>
 #include <thread>
 
-DEFINE_string(role, "caller", "backend or caller");
+#include "adapters/thread_pool.h"
+
+DEFINE_string(role, "caller", "backend, caller or wait");
 DEFINE_string(address, "127.0.0.1:9001", "HTTP address of the backend server");
 DEFINE_string(node, "127.0.0.1:7201", "call address of the node");
 DEFINE_string(service, "depozit", "service of the backend server");
@@ -20,6 +22,7 @@
 DEFINE_double(work_ms, 2, "service time of the backend server");
 DEFINE_string(classes, "stock-lookup", "classes that the caller calls");
 DEFINE_int32(calls, 20, "calls of each class");
+DEFINE_string(domain, "ro-centru-a", "failure domain in which calls begin");
 
 namespace {
 
@@ -46,7 +49,7 @@
   server.set_keep_alive_max_count(std::size_t{1} << 40U);
   auto threads = static_cast<std::size_t>(FLAGS_connections);
   server.new_task_queue = [threads] {
-    return new httplib::ThreadPool{threads};
+    return new figwind::thread_pool{threads};
   };
   server.Post(R"(/v1/work/([\w-]+))", [](const auto& in, auto& out) {
     auto work = std::chrono::duration<double, std::milli>{FLAGS_work_ms};
@@ -67,16 +70,32 @@
   return 0;
 }
 
+auto key(const std::string& name, int number) -> std::string {
+  using namespace std::chrono;
+  auto birth =
+      duration_cast<milliseconds>(system_clock::now().time_since_epoch());
+  auto text = std::ostringstream{};
+  text << FLAGS_domain << '.' << std::hex << birth.count() << '.' << std::dec
+       << name << '-' << number;
+  return text.str();
+}
+
+auto send(httplib::Client& to, const std::string& name, int number)
+    -> std::string {
+  auto body = name + "-" + std::to_string(number);
+  auto headers = httplib::Headers{{"Figwind-Key", key(name, number)},
+                                  {"Figwind-Sending", "first"}};
+  auto got = to.Post("/v1/call/" + name, headers, body, "text/plain");
+  if (!got) return "no answer";
+  auto outcome = got->get_header_value("Figwind-Outcome");
+  auto reason = got->get_header_value("Figwind-Reason");
+  return reason.empty() ? outcome : outcome + " (" + reason + ")";
+}
+
 void call(const std::string& name) {
   auto to = client(FLAGS_node);
   auto outcomes = std::map<std::string, int>{};
-  for (auto i = 0; i < FLAGS_calls; ++i) {
-    auto body = name + "-" + std::to_string(i);
-    auto got = to.Post("/v1/call/" + name, body, "text/plain");
-    auto outcome = got ? got->get_header_value("Figwind-Outcome") : "no answer";
-    auto reason = got ? got->get_header_value("Figwind-Reason") : "";
-    ++outcomes[reason.empty() ? outcome : outcome + " (" + reason + ")"];
-  }
+  for (auto i = 0; i < FLAGS_calls; ++i) ++outcomes[send(to, name, i)];
   std::cout << name << ":";
   for (const auto& [outcome, count] : outcomes) {
     std::cout << " " << count << " " << outcome;
@@ -84,12 +103,30 @@
   std::cout << std::endl;
 }
 
+/// Waits until a call of the class completes.
+void wait(const std::string& name) {
+  auto to = client(FLAGS_node);
+  constexpr auto first_number = 1'000'000;
+  constexpr auto max_tries = 150;
+  for (auto i = 0; i < max_tries; ++i) {
+    if (send(to, name, first_number + i) == "complete") return;
+    std::this_thread::sleep_for(std::chrono::milliseconds{200});
+  }
+  std::cout << name << ": not served" << std::endl;
+}
+
 }  // namespace
 
 auto main(int argc, char** argv) -> int {
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   if (FLAGS_role == "backend") return serve();
   auto names = std::istringstream{FLAGS_classes};
-  for (auto name = std::string{}; std::getline(names, name, ',');) call(name);
+  for (auto name = std::string{}; std::getline(names, name, ',');) {
+    if (FLAGS_role == "wait") {
+      wait(name);
+    } else {
+      call(name);
+    }
+  }
   return 0;
 }
--- a/test/consensus-cluster.h
+++ b/test/consensus-cluster.h
@@ -261,7 +261,7 @@
     check(p.store.restore(state).empty(), "a state cannot be restored");
   }
 
-  void transmit(process& from, outgoing& o) {
+  void transmit(process& from, member_message& o) {
     if (on_send) on_send(o.message);
     auto to = all_.find(o.to);
     if (to == all_.end() || to->second.group != from.group) return;
--- a/test/consensus-rules-test.cc
+++ b/test/consensus-rules-test.cc
@@ -94,7 +94,7 @@
   time_point now;
   consensus core;
   std::uint64_t last_batch = 0;
-  std::vector<outgoing> sent;
+  std::vector<member_message> sent;
   std::vector<log_entry> applied;
 };
 
--- a/test/settings-test.cc
+++ b/test/settings-test.cc
@@ -22,7 +22,7 @@
 constexpr auto control_text = R"([control]
 data_folder = run/data
 member_id = 1
-members = 1@127.0.0.1:7001, 2@127.0.0.1:7002
+members = 1@127.0.0.1:7001/ro-centru-a, 2@127.0.0.1:7002/ro-centru-a
 )";
 
 auto full_text() -> std::string {
@@ -78,9 +78,14 @@
       {8, "drain_limit = -5 min", "must be a duration above 0"},
       {11, "member_id = 1.5", "must be a whole number"},
       {11, "member_id = 3", "is not among the members: 3"},
-      {12, "members = 1@127.0.0.1:7001, 1@127.0.0.1:7002", "the id 1 twice"},
-      {12, "members = 1@127.0.0.1:7001, 2@127.0.0.1:7001", "7001 twice"},
-      {12, "members = 1@127.0.0.1:7009", "but its control_address is"},
+      {12,
+       "members = 1@127.0.0.1:7001/ro-centru-a, 1@127.0.0.1:7002/ro-centru-a",
+       "the id 1 twice"},
+      {12,
+       "members = 1@127.0.0.1:7001/ro-centru-a, 2@127.0.0.1:7001/ro-centru-a",
+       "7001 twice"},
+      {12, "members = 1@127.0.0.1:7009/ro-centru-a",
+       "but its control_address is"},
       {12, "members = 127.0.0.1:7001", "must be a list"},
       {12, "members = " + std::string(200, '1'), "is longer than 198 bytes"},
   };
