--- a/include/figwind/server_runs.h
+++ b/include/figwind/server_runs.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -158,6 +159,8 @@
     call_ticket queue_ticket;
     run_phase phase = run_phase::queued;
     attempt_id attempt{};
+    /// Times that the recorders named another attempt.
+    int waits = 0;
     parent_token parent = 0;
     duration downstream{};
     std::set<service_name> services{};
@@ -170,8 +173,11 @@
   };
 
   void enqueue(const held_run& run, time_point now, run_output& out);
-  void start(run_ticket ticket, time_point now, time_point unix_now,
-             run_output& out);
+  void start(run_ticket ticket, time_point now, run_output& out);
+  void ask_recorders(run_ticket ticket, live_run& x, bool earlier_unresolved,
+                     time_point now, run_output& out);
+  auto wait_for_outcome(run_ticket ticket, live_run& x, time_point now) -> bool;
+  void ask_again(time_point now, run_output& out);
   void run(run_ticket ticket, live_run& x, time_point now, run_output& out);
   void drain_queue(time_point now, run_output& out);
   void decide(const record_output& records, time_point now, run_output& out);
@@ -198,6 +204,8 @@
   std::unordered_map<std::uint64_t, run_ticket> by_attempt_;
   std::unordered_map<parent_token, run_ticket> by_parent_;
   std::vector<held_run> held_;
+  /// Resends that wait for the outcome of the attempt that runs, by time.
+  std::multimap<time_point, run_ticket> asking_again_;
 };
 
 }  // namespace figwind
--- a/src/adapters/control_actor.cc
+++ b/src/adapters/control_actor.cc
@@ -97,12 +97,12 @@
   static constexpr const char* name = "control";
 
   void open(const control_options& options, control_ports ports,
-            std::shared_ptr<control_disk> disk, durable_state from_disk) {
+            std::shared_ptr<control_disk> disk,
+            const durable_state& from_disk) {
     options_ = options;
     ports_ = std::move(ports);
     disk_ = std::move(disk);
-    core_ = std::make_unique<control_core>(options, std::move(from_disk),
-                                           steady_now());
+    core_ = std::make_unique<control_core>(options, from_disk, steady_now());
   }
 
   void handle(const change_message& x) {
@@ -214,7 +214,7 @@
                     const std::shared_ptr<durable_state>& from_disk)
     -> caf::behavior {
   auto& state = self->state;
-  state.open(options, ports, disk, std::move(*from_disk));
+  state.open(options, ports, disk, *from_disk);
   self->delayed_send(self, tick_period, control_tick_message{});
   return {
       [&state](const change_message& x) { state.handle(x); },
--- a/src/decisions/server_runs.cc
+++ b/src/decisions/server_runs.cc
@@ -12,6 +12,12 @@
 // An allowance outlives its request by this much, for late downstream calls.
 constexpr auto ledger_grace = seconds(1);
 
+// A resend often comes while the first sending runs or while its outcome is on
+// its way to the recorders. It waits this often, for 250 ms in all, because it
+// holds a slot meanwhile.
+constexpr auto outcome_wait = milliseconds(25);
+constexpr auto outcome_waits = 10;
+
 auto answer_step(run_ticket ticket, call_status status, refusal reason)
     -> run_step {
   auto step = run_step{};
@@ -110,12 +116,11 @@
   by_queue_ticket_[arrival.ticket.value] = run.ticket;
   runs_.emplace(run.ticket, std::move(x));
   if (arrival.verdict == arrival_verdict::start) {
-    start(run.ticket, now, unix_now_, out);
+    start(run.ticket, now, out);
   }
 }
 
-void server_runs::start(run_ticket ticket, time_point now, time_point unix_now,
-                        run_output& out) {
+void server_runs::start(run_ticket ticket, time_point now, run_output& out) {
   auto& x = runs_.at(ticket);
   // A crash may have made it a suspect while it was queued.
   auto permit = guard_.may_run(x.request, now);
@@ -131,14 +136,42 @@
     return;
   }
   x.phase = run_phase::recording;
+  ask_recorders(ticket, x, !x.context.first_sending, now, out);
+}
+
+void server_runs::ask_recorders(run_ticket ticket, live_run& x,
+                                bool earlier_unresolved, time_point now,
+                                run_output& out) {
   auto attempt = attempt_id{};
-  auto records = records_.begin(x.context.key, !x.context.first_sending, now,
-                                unix_now, attempt);
+  auto records = records_.begin(x.context.key, earlier_unresolved, now,
+                                unix_now_, attempt);
   x.attempt = attempt;
   by_attempt_[attempt.number] = ticket;
   decide(records, now, out);
 }
 
+auto server_runs::wait_for_outcome(run_ticket ticket, live_run& x,
+                                   time_point now) -> bool {
+  if (x.waits >= outcome_waits || now + outcome_wait >= x.deadline) {
+    return false;
+  }
+  ++x.waits;
+  by_attempt_.erase(x.attempt.number);
+  asking_again_.emplace(now + outcome_wait, ticket);
+  return true;
+}
+
+void server_runs::ask_again(time_point now, run_output& out) {
+  while (!asking_again_.empty() && asking_again_.begin()->first <= now) {
+    auto ticket = asking_again_.begin()->second;
+    asking_again_.erase(asking_again_.begin());
+    auto found = runs_.find(ticket);
+    if (found == runs_.end()) continue;
+    constexpr auto earlier_unresolved = true;
+    ask_recorders(ticket, found->second, earlier_unresolved, now, out);
+  }
+}
+
 void server_runs::run(run_ticket ticket, live_run& x, time_point now,
                       run_output& out) {
   x.phase = run_phase::running;
@@ -166,6 +199,10 @@
   if (found == by_attempt_.end()) return;
   auto ticket = found->second;
   auto& x = runs_.at(ticket);
+  if (decision.verdict == record_verdict::elsewhere &&
+      wait_for_outcome(ticket, x, now)) {
+    return;
+  }
   if (decision.verdict != record_verdict::first) {
     guard_.finished(x.request, false, now);
     close(ticket, x, decided_answer(ticket, decision), now, out);
@@ -252,7 +289,7 @@
     for (const auto& started : actions.start) {
       auto found = by_queue_ticket_.find(started.value);
       if (found != by_queue_ticket_.end()) {
-        start(found->second, now, unix_now_, out);
+        start(found->second, now, out);
       }
     }
     actions = queue_->tick(now);
@@ -310,6 +347,7 @@
   unix_now_ = unix_now;
   auto out = run_output{};
   decide(records_.on_tick(now), now, out);
+  ask_again(now, out);
   if (!held_.empty()) retry_held(now, out);
   if (queue_ != nullptr) drain_queue(now, out);
   return out;
