--- a/include/figwind/control_core.h
+++ b/include/figwind/control_core.h
@@ -46,10 +46,12 @@
 /// The answer to an operator's change.
 struct change_reply {
   request_id id;
-  /// Empty when the change was not taken; `reason` says why. It may be sent
+  /// Empty when there is no answer; `reason` says why. The change may be sent
   /// again with the same id.
   std::optional<change_answer> answer;
   std::string reason;
+  /// True when the change may still be accepted.
+  bool outcome_unknown = false;
 };
 
 /// What a control member has to do after an event. `persist` comes first; after
--- a/src/adapters/control_actor.cc
+++ b/src/adapters/control_actor.cc
@@ -254,7 +254,7 @@
   caf::anon_send(actor_, change_message{change, reply});
   auto wait = std::chrono::duration<double, std::milli>{patience.ms};
   if (answer.wait_for(wait) == std::future_status::ready) return answer.get();
-  return {change.id, std::nullopt, "no majority of members has answered"};
+  return {change.id, std::nullopt, "no majority of members has answered", true};
 }
 
 auto control_handle::replace_member(member_id replaces, member_id id,
--- a/src/adapters/operator_server.cc
+++ b/src/adapters/operator_server.cc
@@ -150,7 +150,7 @@
     log_warning("change-not-accepted", {{"request", to_string(change->id)},
                                         {"author", change->author},
                                         {"reason", reply.reason}});
-    refuse(out, 503, reply.reason);
+    refuse(out, reply.outcome_unknown ? 504 : 503, reply.reason);
     return;
   }
   log_info("change-answered", {{"request", to_string(change->id)},
--- a/src/decisions/control_core.cc
+++ b/src/decisions/control_core.cc
@@ -91,7 +91,7 @@
   auto applied = store_.apply(entry.bytes);
   if (!ok(applied)) return;
   const auto& change = value(applied);
-  out.replies.push_back({change.id, change.answer, {}});
+  out.replies.push_back({change.id, change.answer, {}, false});
   if (store_.current().version != before) {
     publish_configuration();
     out.accepted = store_.current().version;
@@ -126,12 +126,12 @@
   auto out = control_output{};
   const auto* known = store_.find_answer(change.id);
   if (known != nullptr) {
-    out.replies.push_back({change.id, *known, {}});
+    out.replies.push_back({change.id, *known, {}, false});
     return out;
   }
   auto reason = refusal_reason();
   if (!reason.empty()) {
-    out.replies.push_back({change.id, std::nullopt, reason});
+    out.replies.push_back({change.id, std::nullopt, reason, false});
     return out;
   }
   submit(change.id, encode_change(change), out);
@@ -149,9 +149,9 @@
   auto proposed = consensus_.propose(std::move(bytes));
   add(out, std::move(proposed.output));
   if (proposed.status == proposal_status::too_large) {
-    out.replies.push_back({id, std::nullopt, "the change is too large"});
+    out.replies.push_back({id, std::nullopt, "the change is too large", false});
   } else if (proposed.status != proposal_status::pending) {
-    out.replies.push_back({id, std::nullopt, "the leader has changed"});
+    out.replies.push_back({id, std::nullopt, "the leader has changed", false});
   }
 }
 
