--- a/src/programs/figwind-demo.cc
+++ b/src/programs/figwind-demo.cc
@@ -16,6 +16,8 @@
 DEFINE_string(role, "caller", "backend, caller or wait");
 DEFINE_string(address, "127.0.0.1:9001", "HTTP address of the backend server");
 DEFINE_string(node, "127.0.0.1:7201", "call address of the node");
+DEFINE_string(control, "127.0.0.1:7300", "operator address to wait for");
+DEFINE_int32(groups, 256, "recorder groups to wait for");
 DEFINE_string(service, "depozit", "service of the backend server");
 DEFINE_int32(slots, 75, "requests that the backend server runs at once");
 DEFINE_int32(connections, 550, "connections that the backend server accepts");
@@ -103,16 +105,23 @@
   std::cout << std::endl;
 }
 
-/// Waits until a call of the class completes.
-void wait(const std::string& name) {
-  auto to = client(FLAGS_node);
-  constexpr auto first_number = 1'000'000;
-  constexpr auto max_tries = 150;
+/// Waits until the control member knows `FLAGS_groups` recorder groups, and
+/// then for a heartbeat that brings them to the nodes.
+auto wait() -> int {
+  auto to = client(FLAGS_control);
+  constexpr auto max_tries = 300;
   for (auto i = 0; i < max_tries; ++i) {
-    if (send(to, name, first_number + i) == "complete") return;
-    std::this_thread::sleep_for(std::chrono::milliseconds{200});
+    auto got = to.Get("/v1/status");
+    auto fields = nlohmann::json::parse(got ? got->body : "", nullptr, false);
+    if (fields.is_object() &&
+        fields.value("recorder_groups", 0) >= FLAGS_groups) {
+      std::this_thread::sleep_for(std::chrono::seconds{2});
+      return 0;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds{100});
   }
-  std::cout << name << ": not served" << std::endl;
+  std::cout << "the recorder groups are not in force" << std::endl;
+  return 1;
 }
 
 }  // namespace
@@ -120,13 +129,8 @@
 auto main(int argc, char** argv) -> int {
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   if (FLAGS_role == "backend") return serve();
+  if (FLAGS_role == "wait") return wait();
   auto names = std::istringstream{FLAGS_classes};
-  for (auto name = std::string{}; std::getline(names, name, ',');) {
-    if (FLAGS_role == "wait") {
-      wait(name);
-    } else {
-      call(name);
-    }
-  }
+  for (auto name = std::string{}; std::getline(names, name, ',');) call(name);
   return 0;
 }
