Ask for a list of servers only while it is unknown

Cause: each call built the whole list of the servers of its service only to register the service, and the node's actor kept a text that nobody read. Change: a call asks only until the first list has arrived (the refresh each 100 ms keeps it afterwards); the unread text is gone. Behaviour is unchanged. The gain was not measured.

--- a/src/adapters/node_actor.cc
+++ b/src/adapters/node_actor.cc
@@ -98,7 +98,6 @@
     ports_ = std::move(ports);
     core_ = std::make_unique<node_core>(options_, steady_now());
     if (initial_workload.empty()) return;
-    workload_text_ = initial_workload;
     core_->put_in_force({}, initial_workload);
     note_workload();
   }
@@ -254,7 +253,6 @@
 
   node_options options_;
   node_ports ports_;
-  std::string workload_text_;
   std::unique_ptr<node_core> core_;
   backend_announcement backend_;
   std::unordered_map<request_id, reply_port<call_step>> calls_;
--- a/src/decisions/node_core.cc
+++ b/src/decisions/node_core.cc
@@ -134,10 +134,12 @@
   }
   const auto& service = its_class->service;
   lists_.try_emplace(service);
-  // Asks for the list of a service that is called for the first time.
-  view_.servers(service, now);
   auto known = view_.knows(service);
-  if (!known) add(out, view_.on_tick(now));
+  if (!known) {
+    // Asks for the list of a service that is called for the first time.
+    view_.servers(service, now);
+    add(out, view_.on_tick(now));
+  }
   add(out, entry_.arrived(context, *its_class, known, now), now, unix_now);
   return out;
 }
