--- a/include/figwind/consensus.h
+++ b/include/figwind/consensus.h
@@ -213,6 +213,11 @@
   auto wants_compaction() const -> bool;
   /// The membership in force here; empty before the cluster is formed.
   auto members() const -> const membership&;
+  /// When the leader last heard the member `id`; meaningful at the leader only,
+  /// and long past for a member that it never heard.
+  auto last_heard(member_id id) const -> time_point;
+  /// Since when `leader()` is what it is.
+  auto leader_since() const -> time_point { return leader_since_; }
   /// Where the agreed disk of `id` is; empty when it was never heard of.
   auto address_of(member_id id) const -> vm_address;
 
@@ -360,6 +365,7 @@
 
   member_role role_ = member_role::follower;
   member_id leader_;
+  time_point leader_since_;
   time_point last_contact_;
   time_point election_due_;
   time_point heartbeat_due_;
--- /dev/null
+++ b/include/figwind/fleet_member.h
@@ -0,0 +1,182 @@
+// All decisions of one control member that serves a fleet of nodes: agreement on
+// the desired state, the directory of nodes, and who else is a member.
+//
+// The desired state is one text that the operator labels with rising numbers.
+// Changes and reads pass through the log, so that neither an isolated leader
+// nor a restart shows an older state or refuses what was accepted.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "figwind/config_store.h"
+#include "figwind/consensus.h"
+#include "figwind/fleet_directory.h"
+#include "figwind/fleet_messages.h"
+#include "figwind/outgoing.h"
+
+namespace figwind {
+
+/// Number that the operator gives a desired state; 0 is before the first.
+using desired_label = strong<struct desired_label_tag, std::uint64_t>;
+
+struct desired_state {
+  desired_label label;
+  std::string text;
+};
+
+/// An operator's change of the desired state.
+struct desired_change {
+  /// The same for each resend, and for no other change.
+  request_id id;
+  /// Label of the desired state that it was derived from.
+  desired_label base;
+  desired_state next;
+};
+
+/// Number of a waiting read or change at this member.
+using member_ticket = std::uint64_t;
+
+enum class desired_status : std::uint8_t {
+  /// The change is accepted, or the read is complete.
+  done,
+  /// Another label is in force than the change was derived from.
+  conflict,
+  /// The label is not above the one in force.
+  stale_label,
+  too_large,
+  /// Nothing is known: leadership was lost, or the disk failed.
+  unknown,
+};
+
+struct desired_reply {
+  member_ticket ticket = 0;
+  desired_status status = desired_status::unknown;
+  /// In force when the reply was made; for a read the newest one.
+  desired_state current;
+};
+
+/// What a member has to do after an event. `persist` comes first; once it is
+/// durable, `persisted` gives the rest.
+struct member_output {
+  std::vector<persist_batch> persist;
+  std::vector<outgoing<fleet_message>> messages;
+  std::vector<desired_reply> replies;
+  std::vector<leadership_news> news;
+  /// Members that were added or removed by this leader, for the log.
+  std::vector<std::string> membership_changes;
+};
+
+struct fleet_member_options {
+  consensus_settings consensus;
+  failure_domain domain;
+  directory_options directory;
+  /// A voter that is silent this long is replaced by a new member that asks.
+  duration replace_after = milliseconds(1500);
+  /// A voter that is silent this long is removed if three voters remain.
+  duration remove_after = seconds(30);
+  /// A process that wants to be a member repeats it within this time.
+  duration hello_period = milliseconds(500);
+  /// A follower's version counts as current once it has known its leader for
+  /// this long, some heartbeats.
+  duration current_after = milliseconds(300);
+  std::uint64_t seed = 0;
+};
+
+class fleet_member {
+ public:
+  fleet_member(fleet_member_options options, const durable_state& from_disk,
+               time_point now);
+
+  /// Call it every 10 ms or so.
+  auto tick(time_point now) -> member_output;
+
+  auto on_message(const fleet_message& message, time_point now)
+      -> member_output;
+
+  auto persisted(std::uint64_t batch) -> member_output;
+  auto storage_failed() -> member_output;
+
+  /// Starts a change; leaders only. The reply comes with a later output.
+  auto change(const desired_change& change, member_output& out)
+      -> member_ticket;
+
+  /// Starts a read of the newest desired state; leaders only.
+  auto read(member_output& out) -> member_ticket;
+
+  /// Other addresses at which control members may be, from the settings.
+  void set_seeds(std::vector<vm_address> seeds) { seeds_ = std::move(seeds); }
+
+  [[nodiscard]] auto leads() const -> bool {
+    return consensus_.role() == member_role::leader;
+  }
+  /// Address of the leader, empty if unknown.
+  [[nodiscard]] auto leader_address() const -> vm_address;
+  [[nodiscard]] auto agreement() const -> const consensus& {
+    return consensus_;
+  }
+  [[nodiscard]] auto version() const -> config_version { return version_; }
+  [[nodiscard]] auto nodes() const -> std::size_t { return nodes_.size(); }
+  /// Addresses of all other control members that are known here.
+  [[nodiscard]] auto peers() const -> std::vector<vm_address>;
+
+ private:
+  struct known_node {
+    node_status status;
+    time_point heard;
+    bool due = true;
+  };
+  struct waiting {
+    member_ticket ticket = 0;
+    std::optional<desired_change> change;
+  };
+  struct candidate {
+    vm_address address;
+    time_point heard;
+  };
+
+  void add(member_output& out, consensus_output from);
+  void apply(const log_entry& entry, member_output& out);
+  void adopt_record();
+  void settle(const settled_proposal& x, member_output& out);
+  void propose_change(const waiting& x, member_output& out);
+  void reply(member_ticket ticket, desired_status status, member_output& out);
+  void fail_waiting(member_output& out);
+  auto start(std::optional<desired_change> change, member_output& out)
+      -> member_ticket;
+  void say_hello(time_point now, member_output& out);
+  void adjust_members(time_point now, member_output& out);
+  void push_updates(time_point now, member_output& out);
+  auto make_update(known_node& node, time_point now) -> member_update;
+  [[nodiscard]] auto is_current(time_point now) const -> bool;
+  [[nodiscard]] auto silent_voter(time_point now, duration limit) const
+      -> member_id;
+
+  void handle(const node_status& m, time_point now, member_output& out);
+  void handle(const member_hello& m, time_point now, member_output& out);
+  void handle(const consensus_message& m, time_point now, member_output& out);
+
+  fleet_member_options options_;
+  random_source random_;
+  consensus consensus_;
+  config_store store_;
+  directory directory_;
+  config_version version_;
+  desired_state current_;
+  std::vector<vm_address> seeds_;
+  std::map<vm_address, known_node> nodes_;
+  std::map<member_id, candidate> candidates_;
+  std::map<log_index, waiting> waiting_;
+  /// Changes in the log by their id.
+  std::map<request_id, member_ticket> proposed_;
+  member_ticket last_ticket_ = 0;
+  time_point next_hello_;
+  time_point next_push_;
+  bool was_current_ = false;
+};
+
+}  // namespace figwind
--- /dev/null
+++ b/include/figwind/route_calls.h
@@ -0,0 +1,189 @@
+// Decisions of an entry node on the requests of callers: which server node gets
+// one, when it is sent again, and how it ends.
+//
+// Order of use: `start` for each request, then `on_answer`, `on_link_lost` and
+// `on_time` as they happen. Each gives the next steps, which are to be carried
+// out at once.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "figwind/balancer.h"
+#include "figwind/fleet_directory.h"
+#include "figwind/random.h"
+#include "figwind/route.h"
+
+namespace figwind {
+
+/// Settings of an entry node's calls.
+struct route_call_options {
+  vm_address self;
+  failure_domain domain;
+  /// Repeated sendings of a service, as a share of the requests for it. Calls
+  /// made by a repeated run count as repeats, too, so it stays well below the
+  /// bound of the whole system.
+  double repeat_ratio = 0.04;
+  /// Repeated sendings that are allowed without any requests.
+  double repeat_slack = 1;
+  /// Time over which requests and repeats are counted.
+  duration repeat_window = seconds(10);
+  /// Server nodes that are asked when the ones before refuse.
+  int most_refusals = 3;
+};
+
+/// A request of a caller, as far as the decisions need it.
+struct route_request {
+  request_id id;
+  /// Time that the caller will wait.
+  duration time_left;
+};
+
+/// Send the request to a server node.
+struct send_step {
+  std::uint64_t call = 0;
+  vm_address node;
+  service_name service;
+  server_name server;
+  duration time_left;
+  duration longest_wait;
+  bool repeated = false;
+};
+
+/// Nobody waits for the call at `node` any more.
+struct cancel_step {
+  std::uint64_t call = 0;
+  vm_address node;
+};
+
+enum class route_end : std::uint8_t {
+  /// Pass on the answer of the backend server.
+  answered,
+  /// It has not run and never will.
+  not_run,
+  /// It may have run; no whole answer came.
+  failed,
+  /// The time of the caller or of the route is over.
+  timed_out,
+};
+
+/// The request has ended.
+struct end_step {
+  std::uint64_t call = 0;
+  route_end end = route_end::failed;
+  refusal reason = refusal::none;
+  /// With `not_run`: when the caller may come again.
+  duration retry_after;
+  /// Server node that was asked last; empty when there was none.
+  vm_address node;
+  int attempts = 0;
+};
+
+struct call_steps {
+  std::optional<send_step> send;
+  std::vector<cancel_step> cancel;
+  std::optional<end_step> end;
+};
+
+/// Repeated sendings that a node may make for one service: a share of the
+/// requests of a sliding window and a fixed slack.
+class repeat_budget {
+ public:
+  repeat_budget(double ratio, double slack, duration window)
+      : ratio_{ratio}, slack_{slack}, window_{window} {}
+
+  void count_request(time_point now);
+  /// True when one more repeat is allowed; it then counts.
+  auto take(time_point now) -> bool;
+
+ private:
+  void decay(time_point now);
+
+  double ratio_;
+  double slack_;
+  duration window_;
+  double requests_ = 0;
+  double repeats_ = 0;
+  time_point last_;
+};
+
+class route_calls {
+ public:
+  route_calls(route_call_options options, random_source random);
+
+  /// Names the backend server beside a node of `set_servers`.
+  void set_server_name(const node_id& node, server_name name) {
+    names_[node] = std::move(name);
+  }
+
+  /// Replaces the servers of a service that may be chosen.
+  void set_servers(const service_name& service,
+                   const std::vector<server>& servers);
+
+  /// Takes a request for `to`. The number of the call is in its steps.
+  auto start(const route& to, const route_request& request, time_point now)
+      -> call_steps;
+
+  auto on_answer(const call_answer& answer, time_point now) -> call_steps;
+
+  /// The link to the node of a call broke. `sent` is false when no byte of the
+  /// call has left, so that it cannot have run.
+  auto on_link_lost(std::uint64_t call, bool sent, time_point now)
+      -> call_steps;
+
+  /// The caller has left.
+  auto on_caller_gone(std::uint64_t call, time_point now) -> call_steps;
+
+  /// Ends calls whose time is over; call it every 10 ms or so.
+  auto on_time(time_point now) -> std::vector<call_steps>;
+
+  [[nodiscard]] auto active() const -> std::size_t { return calls_.size(); }
+
+ private:
+  struct active_call {
+    route_request request;
+    class_name name;
+    service_name service;
+    repeat_rule repeat = repeat_rule::at_most_once;
+    duration target_latency;
+    time_point started;
+    time_point deadline;
+    int most_attempts = 1;
+    /// Server nodes that may have run it.
+    int attempts = 0;
+    int refusals = 0;
+    std::vector<node_id> excluded;
+    attempt_ticket ticket = 0;
+    vm_address node;
+  };
+
+  auto send(std::uint64_t number, active_call& x, bool repeated,
+            time_point now) -> call_steps;
+  auto send_again(std::uint64_t number, active_call& x, time_point now)
+      -> call_steps;
+  auto finish(std::uint64_t number, route_end end, refusal reason)
+      -> call_steps;
+  auto retry_after(refusal reason) -> duration;
+  auto may_repeat(active_call& x, time_point now) -> bool;
+  auto budget_of(const service_name& service) -> repeat_budget&;
+
+  route_call_options options_;
+  random_source random_;
+  balancer balancer_;
+  std::unordered_map<service_name, std::vector<server>> servers_;
+  /// Names of the backend servers by node.
+  std::unordered_map<node_id, server_name> names_;
+  std::map<service_name, repeat_budget> budgets_;
+  std::unordered_map<std::uint64_t, active_call> calls_;
+  std::map<std::pair<double, std::uint64_t>, int> deadlines_;
+  std::uint64_t last_call_ = 0;
+};
+
+}  // namespace figwind
--- /dev/null
+++ b/include/figwind/server_gate.h
@@ -0,0 +1,86 @@
+// Decisions of a server node on the calls for its backend server: which run,
+// wait or are refused.
+//
+// The node is the only way to its backend server, so it knows exactly what runs
+// there and can say "not run" with certainty.
+
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "figwind/announcement.h"
+#include "figwind/fleet_messages.h"
+#include "figwind/run_queue.h"
+
+namespace figwind {
+
+/// One call at a server node: the peer that sent it and its number there.
+struct gate_call {
+  std::uint64_t peer = 0;
+  std::uint64_t call = 0;
+
+  friend auto operator<=>(const gate_call&, const gate_call&) = default;
+};
+
+struct gate_refusal {
+  gate_call call;
+  refusal reason = refusal::none;
+};
+
+/// What a server node has to do now.
+struct gate_steps {
+  std::vector<gate_call> start;
+  std::vector<gate_refusal> refuse;
+  /// Runs for nobody any more: break it off if it may be repeated.
+  std::vector<gate_call> abandon;
+};
+
+class server_gate {
+ public:
+  /// Takes what the backend server announces of itself; empty when there is
+  /// none that takes work.
+  void set_server(const std::optional<announcement>& server, time_point now);
+
+  auto arrive(const gate_call& from, const call_request& call, time_point now)
+      -> gate_steps;
+
+  /// A started call has ended.
+  auto finish(const gate_call& which, bool complete, time_point now)
+      -> gate_steps;
+
+  auto cancel(const gate_call& which, time_point now) -> gate_steps;
+
+  /// To be called every 10 ms or so.
+  auto tick(time_point now) -> gate_steps;
+
+  /// Refuses all new calls from now on.
+  void close() { closed_ = true; }
+
+  [[nodiscard]] auto in_flight() const -> int;
+  [[nodiscard]] auto queued() const -> int;
+
+ private:
+  struct held_call {
+    call_ticket ticket;
+    /// A queued call is refused at this time.
+    time_point latest_start;
+    bool running = false;
+  };
+
+  [[nodiscard]] auto refusal_of(const call_request& call) const -> refusal;
+  void take(queue_actions actions, gate_steps& out);
+  void start(const gate_call& which, gate_steps& out);
+
+  std::optional<announcement> server_;
+  std::unique_ptr<run_queue> queue_;
+  std::map<gate_call, held_call> calls_;
+  std::unordered_map<std::uint64_t, gate_call> by_ticket_;
+  bool closed_ = false;
+};
+
+}  // namespace figwind
--- /dev/null
+++ b/src/adapters/asio.cc
@@ -0,0 +1,47 @@
+#include "adapters/asio.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <boost/asio/ip/address.hpp>
+
+#include "figwind/parse.h"
+
+namespace figwind {
+namespace {
+
+// A connection on which nothing is acknowledged for this time has lost its
+// peer: some round trips between failure domains, retransmissions included.
+constexpr int unacknowledged_limit_ms = 2500;
+
+}  // namespace
+
+auto endpoint_of(const vm_address& address) -> std::optional<tcp::endpoint> {
+  const auto colon = address.value.rfind(':');
+  if (colon == std::string::npos) return std::nullopt;
+  auto error = boost::system::error_code{};
+  const auto ip =
+      asio::ip::make_address(address.value.substr(0, colon), error);
+  const auto port = parse_whole(address.value.substr(colon + 1));
+  if (error || !port || *port > 65535) return std::nullopt;
+  return tcp::endpoint{ip, static_cast<unsigned short>(*port)};
+}
+
+void tune(tcp::socket& socket) {
+  auto error = boost::system::error_code{};
+  socket.set_option(tcp::no_delay{true}, error);
+  auto limit = unacknowledged_limit_ms;
+  ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit,
+               sizeof limit);
+}
+
+auto is_closed(tcp::socket& socket, bool& has_bytes) -> bool {
+  auto byte = char{};
+  const auto got = ::recv(socket.native_handle(), &byte, 1,
+                          MSG_PEEK | MSG_DONTWAIT);
+  has_bytes = got > 0;
+  if (got > 0) return false;
+  return got == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+}  // namespace figwind
--- a/src/adapters/codec.cc
+++ b/src/adapters/codec.cc
@@ -1,10 +1,9 @@
 #include "adapters/codec.h"
 
-#include <caf/all.hpp>
-#include <caf/binary_deserializer.hpp>
-#include <caf/binary_serializer.hpp>
 #include <utility>
 
+#include "adapters/binary_codec.h"
+
 namespace figwind {
 namespace {
 
@@ -28,22 +27,6 @@
   return {{{}, reason}};
 }
 
-/// Reads the alternative `kind` of `Variant`; false when it is not one or its
-/// bytes are damaged.
-template <class Variant, std::size_t I = 0>
-auto read_kind(std::size_t kind, caf::binary_deserializer& from, Variant& to)
-    -> bool {
-  if constexpr (I == std::variant_size_v<Variant>) {
-    return false;
-  } else {
-    if (kind != I) return read_kind<Variant, I + 1>(kind, from, to);
-    auto x = std::variant_alternative_t<I, Variant>{};
-    if (from(x)) return false;
-    to = std::move(x);
-    return true;
-  }
-}
-
 template <std::size_t I = 0>
 auto read_family(const message_head& head, caf::binary_deserializer& from,
                  process_message& to) -> bool {
@@ -52,20 +35,12 @@
   } else {
     if (head.family != I) return read_family<I + 1>(head, from, to);
     auto x = std::variant_alternative_t<I, process_message>{};
-    if (!read_kind(head.kind, from, x)) return false;
+    if (!detail::read_kind(head.kind, from, x)) return false;
     to = std::move(x);
     return true;
   }
 }
 
-template <class Message>
-void write(caf::binary_serializer& to, const Message& message) {
-  // Serializers of CAF 0.17 take values by mutable reference and do not write
-  // to them.
-  // NOLINTNEXTLINE(cppcoreguidelines-pro-type-const-cast)
-  to(const_cast<Message&>(message));
-}
-
 }  // namespace
 
 auto encode(const std::string& cluster, const envelope& x)
@@ -78,7 +53,7 @@
       [&](const auto& family) {
         head.kind = static_cast<std::uint8_t>(family.index());
         to(head);
-        std::visit([&](const auto& message) { write(to, message); }, family);
+        std::visit([&](const auto& message) { detail::write(to, message); }, family);
       },
       x.message);
   return bytes;
--- /dev/null
+++ b/src/adapters/fleet_control.cc
@@ -0,0 +1,194 @@
+#include "adapters/fleet_control.h"
+
+#include <boost/asio/ip/address_v4.hpp>
+#include <stdexcept>
+#include <utility>
+
+#include "adapters/clock.h"
+#include "adapters/log.h"
+
+namespace figwind {
+namespace {
+
+constexpr auto tick_period = milliseconds(10);
+constexpr auto link_check_period = milliseconds(50);
+// Pause before a disk that failed is tried again.
+constexpr auto reopen_pause = seconds(1);
+
+/// A member's id follows from its address, so that a replacement at another
+/// address is another member.
+auto member_id_of(const vm_address& link) -> member_id {
+  auto error = boost::system::error_code{};
+  const auto ip = asio::ip::make_address_v4(ip_of(link), error);
+  return {error ? 0 : ip.to_uint()};
+}
+
+}  // namespace
+
+fleet_control::fleet_control(event_loop& loop, const fleet_settings& settings)
+    : loop_{loop},
+      settings_{settings},
+      self_{address_at(settings.ip, settings.link_port)},
+      links_{loop,
+             {[](const vm_address&, const fleet_message&) {
+                // Members answer over the links that they open themselves.
+              },
+              {},
+              [](const vm_address& peer, bool) {
+                log_info("link_lost", {{"peer", peer.value}});
+              }}},
+      listener_{loop, *endpoint_of(self_),
+                [this](const std::shared_ptr<link_session>& x) {
+                  on_session(x);
+                }} {
+  open();
+  ticker_ = std::make_unique<periodic<std::function<void()>>>(
+      loop, tick_period, [this] { tick(); });
+  link_checker_ = std::make_unique<periodic<std::function<void()>>>(
+      loop, link_check_period, [this] {
+        const auto now = steady_now();
+        links_.check(now);
+        listener_.check(now);
+      });
+}
+
+auto fleet_control::options() const -> fleet_member_options {
+  auto out = fleet_member_options{};
+  out.consensus.self = member_id_of(self_);
+  out.consensus.address = self_;
+  for (const auto& seed : link_seeds(settings_)) {
+    out.consensus.first_members.push_back(
+        {member_id_of(seed), seed, {}, true, {}});
+  }
+  out.domain = settings_.domain;
+  out.seed = static_cast<std::uint64_t>(wall_now().ms * 1000) ^
+             (member_id_of(self_).value << 32U);
+  return out;
+}
+
+void fleet_control::open() {
+  storage_.reset();
+  files_ = std::make_unique<posix_files>();
+  auto found = files_->open(settings_.data_folder);
+  if (!found.empty()) throw std::runtime_error{to_string(found)};
+  storage_ = std::make_unique<disk_storage>(*files_);
+  auto opened = storage_->open();
+  if (!ok(opened)) throw std::runtime_error{to_string(errors(opened))};
+  auto state = value(std::move(opened));
+  // An empty disk forms a cluster only when the whole system starts for the
+  // first time; later it belongs to a member that lost its disk or is new.
+  const auto is_empty =
+      !state.snapshot && state.state.generation.value == 0;
+  if (is_empty && !settings_.first_start) state.state.joins_only = true;
+  log_info("disk_opened", {{"empty", is_empty},
+                           {"first_start", settings_.first_start},
+                           {"entries", state.entries.size()}});
+  member_ = std::make_unique<fleet_member>(options(), state, steady_now());
+  member_->set_seeds(link_seeds(settings_));
+  disk_failed_ = false;
+}
+
+void fleet_control::tick() {
+  const auto now = steady_now();
+  if (disk_failed_) {
+    if (now < reopen_at_) return;
+    reopen_at_ = now + reopen_pause;
+    try {
+      open();
+    } catch (const std::runtime_error& error) {
+      log_error("disk_unusable", {{"problem", error.what()}});
+      return;
+    }
+  }
+  carry_out(member_->tick(now));
+  links_.set_peers(member_->peers());
+}
+
+void fleet_control::persist(const std::vector<persist_batch>& batches) {
+  for (const auto& batch : batches) {
+    const auto status = storage_->write(batch);
+    if (status == io_status::done) {
+      carry_out(member_->persisted(batch.number));
+      continue;
+    }
+    log_error("disk_failed", {{"status", to_string(status)},
+                              {"problem", files_->last_error()}});
+    disk_failed_ = true;
+    reopen_at_ = steady_now() + reopen_pause;
+    carry_out(member_->storage_failed());
+    return;
+  }
+}
+
+void fleet_control::carry_out(member_output out) {
+  note_members(out);
+  for (const auto& x : out.messages) send(x);
+  for (const auto& x : out.replies) {
+    auto found = waiting_.find(x.ticket);
+    if (found == waiting_.end()) continue;
+    const auto done = std::move(found->second);
+    waiting_.erase(found);
+    done(x);
+  }
+  if (!out.persist.empty()) persist(out.persist);
+}
+
+void fleet_control::note_members(const member_output& out) {
+  for (const auto& x : out.news) {
+    log_info("leadership", {{"term", x.term},
+                            {"leader", ip_of(member_->leader_address())},
+                            {"isolated", x.isolated}});
+  }
+  for (const auto& x : out.membership_changes) {
+    log_info("membership_change", {{"change", x}});
+  }
+}
+
+void fleet_control::send(const outgoing<fleet_message>& x) {
+  if (!std::holds_alternative<member_update>(x.message)) {
+    links_.send(x.to, x.message);
+    return;
+  }
+  const auto found = nodes_.find(x.to);
+  if (found == nodes_.end()) return;
+  if (const auto session = found->second.lock()) session->send(x.message);
+}
+
+void fleet_control::on_session(const std::shared_ptr<link_session>& session) {
+  const auto weak = std::weak_ptr<link_session>{session};
+  session->start({[this, weak](fleet_message m) {
+                    if (const auto* x = std::get_if<node_status>(&m)) {
+                      nodes_[x->report.node.address] = weak;
+                    }
+                    if (disk_failed_) return;
+                    carry_out(member_->on_message(m, steady_now()));
+                  },
+                  [] {}});
+}
+
+void fleet_control::read(reply_handler done) {
+  auto out = member_output{};
+  const auto ticket = member_->read(out);
+  waiting_[ticket] = std::move(done);
+  carry_out(std::move(out));
+}
+
+void fleet_control::change(const desired_change& change, reply_handler done) {
+  auto out = member_output{};
+  const auto ticket = member_->change(change, out);
+  waiting_[ticket] = std::move(done);
+  carry_out(std::move(out));
+}
+
+auto fleet_control::other_leader() const -> std::string {
+  if (member_->leads()) return {};
+  const auto leader = member_->leader_address();
+  return leader.value.empty() ? std::string{} : ip_of(leader);
+}
+
+void fleet_control::reload(const fleet_settings& settings) {
+  settings_.seeds = settings.seeds;
+  member_->set_seeds(link_seeds(settings_));
+}
+
+}  // namespace figwind
--- /dev/null
+++ b/src/adapters/http_server.cc
@@ -0,0 +1,381 @@
+#include "adapters/http_server.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <cctype>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace figwind {
+namespace {
+
+namespace http = boost::beast::http;
+using error_code = boost::system::error_code;
+
+// A body that makes no progress for this time has lost its caller.
+constexpr auto body_timeout = seconds(10);
+// Callers may read slowly; an answer that stays unread this long is dropped.
+constexpr auto write_timeout = seconds(15);
+
+auto lower(std::string text) -> std::string {
+  std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  return text;
+}
+
+/// Status for input that is refused before it is a request.
+auto status_of(const error_code& error) -> int {
+  if (error == http::error::header_limit) return 431;
+  if (error == http::error::body_limit) return 413;
+  return 400;
+}
+
+/// Names in the `Connection` headers.
+auto named_by_connection(const header_list& all) -> std::set<std::string> {
+  auto out = std::set<std::string>{};
+  for (const auto& [name, value] : all) {
+    if (!same_name(name, "connection")) continue;
+    for (const auto& token : http::token_list{value}) {
+      out.insert(lower(std::string{token}));
+    }
+  }
+  return out;
+}
+
+/// True when the framing of a request is beyond doubt.
+template <class Header>
+auto is_well_framed(const Header& x) -> bool {
+  if (x.count(http::field::host) != 1) return false;
+  if (x.count(http::field::content_length) > 1) return false;
+  const auto codings = x.count(http::field::transfer_encoding);
+  if (codings == 0) return true;
+  const auto coding = lower(std::string{x[http::field::transfer_encoding]});
+  return codings == 1 && coding == "chunked" &&
+         x.count(http::field::content_length) == 0;
+}
+
+}  // namespace
+
+auto same_name(const std::string& a, const std::string& b) -> bool {
+  return boost::beast::iequals(a, b);
+}
+
+auto http_request::header(const std::string& name) const -> std::string {
+  for (const auto& [key, value] : headers) {
+    if (same_name(key, name)) return value;
+  }
+  return {};
+}
+
+auto end_to_end(const header_list& all) -> header_list {
+  static constexpr auto dropped = std::array{
+      "connection", "keep-alive",        "proxy-connection",
+      "te",         "trailer",           "transfer-encoding",
+      "upgrade",    "proxy-authenticate", "proxy-authorization",
+      "expect",     "content-length"};
+  const auto named = named_by_connection(all);
+  auto out = header_list{};
+  for (const auto& x : all) {
+    const auto name = lower(x.first);
+    const auto drop =
+        std::find(dropped.begin(), dropped.end(), name) != dropped.end();
+    if (!drop && named.count(name) == 0) out.push_back(x);
+  }
+  return out;
+}
+
+/// One connection of a caller; it is also the exchange of the request in
+/// progress.
+class http_server::session : public http_exchange,
+                             public std::enable_shared_from_this<session> {
+ public:
+  session(tcp::socket socket, std::shared_ptr<http_server_state> state)
+      : socket_{std::move(socket)},
+        timer_{socket_.get_executor()},
+        state_{std::move(state)} {
+    ++state_->connections;
+    tune(socket_);
+  }
+  ~session() override {
+    if (busy_) --state_->exchanges;
+    --state_->connections;
+  }
+  session(const session&) = delete;
+  auto operator=(const session&) -> session& = delete;
+  session(session&&) = delete;
+  auto operator=(session&&) -> session& = delete;
+
+  void run() { wait_for_request(); }
+
+  void close_if_idle() {
+    if (waiting_) close();
+  }
+
+  void answer(http_answer x) override {
+    if (!busy_ || answered_) return;
+    answered_ = true;
+    gone_ = {};
+    // Ends the watch on the caller.
+    cancel_operations();
+    write(std::move(x));
+  }
+
+  void on_gone(std::function<void()> handler) override {
+    gone_ = std::move(handler);
+    watch_caller();
+  }
+
+ private:
+  using parser = http::request_parser<http::string_body>;
+
+  void arm(duration limit) {
+    timer_.expires_after(to_chrono(limit));
+    timer_.async_wait([self = shared_from_this(),
+                       turn = ++timer_turn_](error_code error) {
+      if (!error && turn == self->timer_turn_) self->timed_out();
+    });
+  }
+
+  void disarm() {
+    ++timer_turn_;
+    timer_.cancel();
+  }
+
+  void timed_out() {
+    if (reading_header_ && !waiting_) {
+      refuse(408);
+      return;
+    }
+    close();
+  }
+
+  void wait_for_request() {
+    if (buffer_.size() > 0) {
+      read_header();
+      return;
+    }
+    if (state_->closing && served_ > 0) {
+      close();
+      return;
+    }
+    waiting_ = true;
+    arm(state_->limits.idle_timeout);
+    socket_.async_wait(tcp::socket::wait_read,
+                       [self = shared_from_this()](error_code error) {
+                         self->waiting_ = false;
+                         if (error) return self->close();
+                         self->read_header();
+                       });
+  }
+
+  void read_header() {
+    parser_.emplace();
+    parser_->header_limit(
+        static_cast<std::uint32_t>(state_->limits.header_bytes));
+    parser_->body_limit(state_->limits.body_bytes);
+    reading_header_ = true;
+    arm(state_->limits.header_timeout);
+    http::async_read_header(
+        socket_, buffer_, *parser_,
+        [self = shared_from_this()](error_code error, std::size_t) {
+          if (!self->reading_header_) return;
+          self->reading_header_ = false;
+          if (error) return self->read_failed(error);
+          self->read_body();
+        });
+  }
+
+  void read_body() {
+    const auto& head = parser_->get();
+    if (!is_well_framed(head)) return refuse(400);
+    if (parser_->is_done()) return deliver();
+    arm(body_timeout);
+    if (boost::beast::iequals(head[http::field::expect], "100-continue")) {
+      static const auto go_on = std::string{"HTTP/1.1 100 Continue\r\n\r\n"};
+      asio::async_write(
+          socket_, asio::buffer(go_on),
+          [self = shared_from_this()](error_code error, std::size_t) {
+            if (error) return self->close();
+            self->read_rest();
+          });
+      return;
+    }
+    read_rest();
+  }
+
+  void read_rest() {
+    http::async_read(
+        socket_, buffer_, *parser_,
+        [self = shared_from_this()](error_code error, std::size_t) {
+          if (error) return self->read_failed(error);
+          self->deliver();
+        });
+  }
+
+  void read_failed(const error_code& error) {
+    const auto ours = error.category() == http::make_error_code(
+                                              http::error::bad_method)
+                                              .category();
+    const auto ended = error == http::error::end_of_stream ||
+                       error == http::error::partial_message;
+    if (!ours || ended) return close();
+    refuse(status_of(error));
+  }
+
+  /// Answers input that is no request that may be passed on.
+  void refuse(int status) {
+    reading_header_ = false;
+    cancel_operations();
+    auto x = http_answer{status, {}, {}, true};
+    if (status == 408) x.headers.emplace_back("Retry-After", "0");
+    write(std::move(x));
+  }
+
+  void deliver() {
+    disarm();
+    auto message = parser_->release();
+    auto x = http_request{};
+    x.method = std::string{message.method_string()};
+    x.target = std::string{message.target()};
+    x.host = std::string{message[http::field::host]};
+    for (const auto& field : message) {
+      x.headers.emplace_back(std::string{field.name_string()},
+                             std::string{field.value()});
+    }
+    x.body = std::move(message.body());
+    keep_alive_ = message.keep_alive();
+    is_head_ = message.method() == http::verb::head;
+    busy_ = true;
+    answered_ = false;
+    ++state_->exchanges;
+    state_->handler(std::move(x), shared_from_this());
+  }
+
+  void watch_caller() {
+    // Bytes of a next request hide whether the caller is still there.
+    if (buffer_.size() > 0) return;
+    socket_.async_wait(
+        tcp::socket::wait_read,
+        [self = shared_from_this(), turn = served_](error_code error) {
+          if (!self->busy_ || self->answered_ || turn != self->served_) return;
+          auto has_bytes = false;
+          if (!error && !is_closed(self->socket_, has_bytes)) return;
+          if (has_bytes) return;
+          self->caller_left();
+        });
+  }
+
+  void caller_left() {
+    const auto handler = std::exchange(gone_, {});
+    answered_ = true;
+    close();
+    if (handler) handler();
+  }
+
+  void cancel_operations() {
+    auto ignored = error_code{};
+    socket_.cancel(ignored);
+    disarm();
+  }
+
+  void write(http_answer x) {
+    response_.emplace();
+    auto& out = *response_;
+    out.version(11);
+    out.result(static_cast<unsigned>(x.status));
+    for (const auto& [name, value] : x.headers) out.insert(name, value);
+    out.keep_alive(keep_alive_ && !x.close && !state_->closing);
+    closes_ = !out.keep_alive();
+    const auto has_body = x.status != 204 && x.status != 304;
+    if (has_body) out.content_length(x.body.size());
+    if (has_body && !is_head_) out.body() = std::move(x.body);
+    arm(write_timeout);
+    http::async_write(
+        socket_, out,
+        [self = shared_from_this()](error_code error, std::size_t) {
+          self->written(error);
+        });
+  }
+
+  void written(const error_code& error) {
+    disarm();
+    response_.reset();
+    if (std::exchange(busy_, false)) --state_->exchanges;
+    ++served_;
+    if (error || closes_) return close();
+    wait_for_request();
+  }
+
+  void close() {
+    disarm();
+    auto ignored = error_code{};
+    // A close with unread bytes resets the connection, which may take the last
+    // answer with it.
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    auto rest = std::array<char, 4096>{};
+    socket_.non_blocking(true, ignored);
+    for (auto i = 0; i < 16; ++i) {
+      auto error = error_code{};
+      if (socket_.read_some(asio::buffer(rest), error) == 0) break;
+    }
+    socket_.close(ignored);
+  }
+
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  std::shared_ptr<http_server_state> state_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<parser> parser_;
+  std::optional<http::response<http::string_body>> response_;
+  std::function<void()> gone_;
+  std::uint64_t timer_turn_ = 0;
+  std::uint64_t served_ = 0;
+  bool waiting_ = false;
+  bool reading_header_ = false;
+  bool busy_ = false;
+  bool answered_ = false;
+  bool keep_alive_ = false;
+  bool is_head_ = false;
+  bool closes_ = false;
+};
+
+http_server::http_server(event_loop& loop, const tcp::endpoint& at,
+                         http_handler handler)
+    : loop_{loop},
+      acceptor_{loop, at, true},
+      state_{std::make_shared<http_server_state>()} {
+  state_->handler = std::move(handler);
+  accept();
+}
+
+http_server::~http_server() = default;
+
+void http_server::accept() {
+  acceptor_.async_accept([this](error_code error, tcp::socket socket) {
+    if (error == asio::error::operation_aborted) return;
+    if (!error) {
+      auto x = std::make_shared<session>(std::move(socket), state_);
+      if (sessions_.size() > 2 * state_->connections + 16) {
+        std::erase_if(sessions_, [](const auto& y) { return y.expired(); });
+      }
+      sessions_.push_back(x);
+      x->run();
+    }
+    accept();
+  });
+}
+
+void http_server::close_idle() {
+  auto ignored = error_code{};
+  acceptor_.close(ignored);
+  for (const auto& x : sessions_) {
+    if (const auto s = x.lock()) s->close_if_idle();
+  }
+}
+
+}  // namespace figwind
--- /dev/null
+++ b/src/adapters/http_server.h
@@ -0,0 +1,104 @@
+// HTTP/1.1 server on the event loop of the process: whole requests in, whole
+// answers out, and notice of callers that leave.
+
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "adapters/asio.h"
+#include "figwind/fleet_messages.h"
+#include "figwind/route.h"
+
+namespace figwind {
+
+struct http_request {
+  std::string method;
+  /// Path and query.
+  std::string target;
+  std::string host;
+  header_list headers;
+  std::string body;
+
+  /// Value of a header, without regard to the case of its name; empty when
+  /// there is none.
+  [[nodiscard]] auto header(const std::string& name) const -> std::string;
+};
+
+struct http_answer {
+  int status = 200;
+  header_list headers;
+  std::string body;
+  /// Close the connection after the answer.
+  bool close = false;
+};
+
+/// True when two header names are equal but for their case.
+auto same_name(const std::string& a, const std::string& b) -> bool;
+
+/// Drops headers that concern one connection only, and framing headers.
+auto end_to_end(const header_list& all) -> header_list;
+
+/// One request that waits for its answer. It may be answered at any later time,
+/// at most once.
+class http_exchange {
+ public:
+  virtual ~http_exchange() = default;
+  virtual void answer(http_answer x) = 0;
+  /// `handler` is called once if the caller leaves before the answer.
+  virtual void on_gone(std::function<void()> handler) = 0;
+};
+
+using http_handler =
+    std::function<void(http_request, std::shared_ptr<http_exchange>)>;
+
+/// State that a server and its connections share.
+struct http_server_state {
+  http_handler handler;
+  caller_limits limits;
+  /// Answers tell callers to close, and idle connections end.
+  bool closing = false;
+  std::size_t connections = 0;
+  std::size_t exchanges = 0;
+};
+
+class http_server {
+ public:
+  http_server(event_loop& loop, const tcp::endpoint& at, http_handler handler);
+  ~http_server();
+  http_server(const http_server&) = delete;
+  auto operator=(const http_server&) -> http_server& = delete;
+  http_server(http_server&&) = delete;
+  auto operator=(http_server&&) -> http_server& = delete;
+
+  void set_limits(const caller_limits& limits) { state_->limits = limits; }
+
+  /// From now on each answer ends its connection.
+  void begin_close() { state_->closing = true; }
+  /// Ends connections without a request, and accepts no new ones.
+  void close_idle();
+
+  /// Requests that wait for their answer.
+  [[nodiscard]] auto exchanges() const -> std::size_t {
+    return state_->exchanges;
+  }
+  [[nodiscard]] auto connections() const -> std::size_t {
+    return state_->connections;
+  }
+
+ private:
+  class session;
+
+  void accept();
+
+  event_loop& loop_;
+  tcp::acceptor acceptor_;
+  std::shared_ptr<http_server_state> state_;
+  std::vector<std::weak_ptr<session>> sessions_;
+};
+
+}  // namespace figwind
--- /dev/null
+++ b/src/adapters/peer_link.cc
@@ -0,0 +1,279 @@
+#include "adapters/peer_link.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <set>
+#include <utility>
+
+#include "adapters/fleet_codec.h"
+#include "adapters/log.h"
+
+namespace figwind {
+namespace {
+
+using error_code = boost::system::error_code;
+
+constexpr std::size_t read_size = std::size_t{16} << 10U;
+// A small window moves 16 KiB in one round trip between failure domains.
+constexpr std::size_t large_from = std::size_t{16} << 10U;
+// Beyond this a peer does not read, and what it is sent is of no use to it.
+constexpr std::size_t most_unsent = std::size_t{48} << 20U;
+
+constexpr auto probe_after = milliseconds(250);
+constexpr auto small_patience = milliseconds(900);
+constexpr auto large_patience = milliseconds(2500);
+constexpr auto connect_limit = milliseconds(700);
+constexpr auto first_backoff = milliseconds(50);
+constexpr auto last_backoff = milliseconds(500);
+
+}  // namespace
+
+link_session::link_session(tcp::socket socket, std::uint64_t number)
+    : socket_{std::move(socket)}, number_{number} {
+  tune(socket_);
+}
+
+void link_session::start(handlers to) {
+  handlers_ = std::move(to);
+  read();
+}
+
+void link_session::read() {
+  const auto old = input_.size();
+  input_.resize(old + read_size);
+  socket_.async_read_some(
+      asio::buffer(input_.data() + old, read_size),
+      [self = shared_from_this(), old](error_code error, std::size_t got) {
+        if (error) return self->fail();
+        self->input_.resize(old + got);
+        self->owed_since_ = {};
+        self->probed_ = false;
+        self->take_frames();
+        if (self->open_) self->read();
+      });
+}
+
+void link_session::take_frames() {
+  auto view = std::string_view{input_};
+  while (open_ && view.size() - input_used_ >= frame_head_size) {
+    const auto head = view.substr(input_used_);
+    const auto size = frame_size(head);
+    if (size > max_frame_size) return fail();
+    if (head.size() < frame_head_size + size) break;
+    auto message = decode_frame(head.substr(frame_head_size, size));
+    input_used_ += frame_head_size + size;
+    if (!ok(message)) {
+      log_warning("link_refused_frame",
+                  {{"reason", errors(message).front().message}});
+      return fail();
+    }
+    const auto* ping = std::get_if<link_ping>(&value(message));
+    if (ping == nullptr) {
+      handlers_.on_message(value(std::move(message)));
+    } else if (!ping->reply) {
+      send(link_ping{true});
+      // The answer to a probe is owed no answer.
+      owed_since_ = {};
+    }
+  }
+  input_.erase(0, input_used_);
+  input_used_ = 0;
+  if (input_.empty() && input_.capacity() > 4 * read_size) {
+    input_.shrink_to_fit();
+  }
+}
+
+void link_session::send(const fleet_message& message) {
+  send_frame(encode_frame(message));
+}
+
+void link_session::send_frame(std::string frame) {
+  if (!open_) return;
+  unsent_ += frame.size();
+  if (unsent_ > most_unsent) return fail();
+  if (owed_since_.ms == 0) owed_since_ = steady_now();
+  waiting_.push_back(std::move(frame));
+  if (flush_due_) return;
+  flush_due_ = true;
+  // Frames of one turn of the loop leave in one write.
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    self->flush_due_ = false;
+    self->flush();
+  });
+}
+
+void link_session::flush() {
+  if (!open_ || !writing_.empty() || waiting_.empty()) return;
+  writing_.swap(waiting_);
+  auto buffers = std::vector<asio::const_buffer>{};
+  for (const auto& x : writing_) buffers.push_back(asio::buffer(x));
+  asio::async_write(
+      socket_, buffers,
+      [self = shared_from_this()](error_code error, std::size_t sent) {
+        if (error) return self->fail();
+        self->unsent_ -= sent;
+        self->writing_.clear();
+        self->flush();
+      });
+}
+
+void link_session::check(time_point now, duration patience) {
+  if (!open_ || owed_since_.ms == 0) return;
+  const auto silent = now - owed_since_;
+  if (silent > patience) {
+    log_warning("link_silent", {{"ms", silent.ms}});
+    return fail();
+  }
+  if (silent > probe_after && !probed_) {
+    probed_ = true;
+    send(link_ping{false});
+  }
+}
+
+void link_session::close() {
+  fail();
+}
+
+void link_session::fail() {
+  if (!std::exchange(open_, false)) return;
+  auto ignored = error_code{};
+  socket_.close(ignored);
+  // The handlers may own this session.
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    const auto to = std::exchange(self->handlers_, {});
+    if (to.on_closed) to.on_closed();
+  });
+}
+
+link_listener::link_listener(event_loop& loop, const tcp::endpoint& at,
+                             on_session handler)
+    : loop_{loop}, acceptor_{loop, at, true}, handler_{std::move(handler)} {
+  accept();
+}
+
+void link_listener::accept() {
+  acceptor_.async_accept([this](error_code error, tcp::socket socket) {
+    if (error == asio::error::operation_aborted) return;
+    if (!error) {
+      auto x = std::make_shared<link_session>(std::move(socket), ++last_);
+      std::erase_if(sessions_, [](const auto& y) { return y.expired(); });
+      sessions_.push_back(x);
+      handler_(std::move(x));
+    }
+    accept();
+  });
+}
+
+void link_listener::check(time_point now) {
+  for (const auto& x : sessions_) {
+    if (const auto session = x.lock()) session->check(now, large_patience);
+  }
+}
+
+void link_listener::close() {
+  auto ignored = error_code{};
+  acceptor_.close(ignored);
+}
+
+link_dialer::link_dialer(event_loop& loop, handlers to)
+    : loop_{loop}, handlers_{std::move(to)} {}
+
+void link_dialer::set_peers(const std::vector<vm_address>& peers) {
+  for (auto& [to, x] : peers_) x.wanted = false;
+  for (const auto& address : peers) {
+    for (const auto large : {false, true}) {
+      peers_[{address, large}].wanted = true;
+    }
+  }
+  for (auto at = peers_.begin(); at != peers_.end();) {
+    auto& x = at->second;
+    if (x.wanted) {
+      ++at;
+      continue;
+    }
+    if (x.session) x.session->close();
+    at = peers_.erase(at);
+  }
+}
+
+auto link_dialer::is_large(std::size_t bytes) -> bool {
+  return bytes >= large_from;
+}
+
+auto link_dialer::is_up(const vm_address& peer) const -> bool {
+  const auto found = peers_.find({peer, false});
+  return found != peers_.end() && found->second.session != nullptr;
+}
+
+auto link_dialer::send(const vm_address& to, const fleet_message& message)
+    -> bool {
+  auto frame = encode_frame(message);
+  const auto found = peers_.find({to, is_large(frame.size())});
+  if (found == peers_.end() || !found->second.session) return false;
+  found->second.session->send_frame(std::move(frame));
+  return true;
+}
+
+void link_dialer::check(time_point now) {
+  // A handler may change the peers.
+  auto keys = std::vector<key>{};
+  for (const auto& [to, x] : peers_) keys.push_back(to);
+  for (const auto& to : keys) {
+    const auto found = peers_.find(to);
+    if (found == peers_.end()) continue;
+    auto& x = found->second;
+    if (x.session) {
+      x.session->check(now, to.large ? large_patience : small_patience);
+    } else if (x.connecting) {
+      if (now - x.connect_since < connect_limit) continue;
+      auto ignored = error_code{};
+      x.connecting->close(ignored);
+      x.connecting.reset();
+    } else if (now >= x.next_try) {
+      connect(to, x, now);
+    }
+  }
+}
+
+void link_dialer::connect(const key& to, peer_state& x, time_point now) {
+  x.backoff = x.backoff.ms == 0 ? first_backoff
+                                : std::min(x.backoff * 2, last_backoff);
+  x.next_try = now + x.backoff;
+  x.connect_since = now;
+  const auto endpoint = endpoint_of(to.address);
+  if (!endpoint) return;
+  auto socket = std::make_shared<tcp::socket>(loop_);
+  x.connecting = socket;
+  socket->async_connect(*endpoint, [this, to, socket](error_code error) {
+    const auto found = peers_.find(to);
+    if (found == peers_.end() || found->second.connecting != socket) return;
+    found->second.connecting.reset();
+    if (!error) opened(to, socket);
+  });
+}
+
+void link_dialer::opened(const key& to,
+                         const std::shared_ptr<tcp::socket>& socket) {
+  auto& x = peers_.at(to);
+  const auto number = ++last_;
+  x.session = std::make_shared<link_session>(std::move(*socket), number);
+  x.session->start(
+      {[this, to](fleet_message m) {
+         const auto found = peers_.find(to);
+         if (found != peers_.end()) found->second.backoff = {};
+         handlers_.on_message(to.address, std::move(m));
+       },
+       [this, to, number] { lost(to, number); }});
+  if (!to.large && handlers_.on_up) handlers_.on_up(to.address);
+}
+
+void link_dialer::lost(const key& to, std::uint64_t number) {
+  const auto found = peers_.find(to);
+  const auto known = found != peers_.end() && found->second.session &&
+                     found->second.session->number() == number;
+  if (known) found->second.session.reset();
+  if (handlers_.on_down) handlers_.on_down(to.address, to.large);
+}
+
+}  // namespace figwind
--- /dev/null
+++ b/src/adapters/peer_link.h
@@ -0,0 +1,137 @@
+// Connections between the processes of the fleet: frames in both directions,
+// and an end of connections that have gone silent.
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "adapters/asio.h"
+#include "adapters/clock.h"
+#include "figwind/fleet_messages.h"
+
+namespace figwind {
+
+/// One connection. It lives until it is closed or breaks.
+class link_session : public std::enable_shared_from_this<link_session> {
+ public:
+  struct handlers {
+    std::function<void(fleet_message)> on_message;
+    /// Called once, also after `close`.
+    std::function<void()> on_closed;
+  };
+
+  link_session(tcp::socket socket, std::uint64_t number);
+
+  void start(handlers to);
+  void send(const fleet_message& message);
+  void send_frame(std::string frame);
+  void close();
+
+  /// Probes a connection that owes an answer and ends one that stays silent.
+  void check(time_point now, duration patience);
+
+  [[nodiscard]] auto number() const -> std::uint64_t { return number_; }
+  [[nodiscard]] auto unsent_bytes() const -> std::size_t { return unsent_; }
+
+ private:
+  void read();
+  void take_frames();
+  void flush();
+  void fail();
+
+  tcp::socket socket_;
+  std::uint64_t number_;
+  handlers handlers_;
+  std::string input_;
+  std::size_t input_used_ = 0;
+  std::vector<std::string> waiting_;
+  std::vector<std::string> writing_;
+  std::size_t unsent_ = 0;
+  bool flush_due_ = false;
+  bool open_ = true;
+  /// When the first frame since the last received byte was sent; 0 when none.
+  time_point owed_since_;
+  bool probed_ = false;
+};
+
+/// Accepts connections of other processes.
+class link_listener {
+ public:
+  using on_session = std::function<void(std::shared_ptr<link_session>)>;
+
+  link_listener(event_loop& loop, const tcp::endpoint& at, on_session handler);
+
+  void check(time_point now);
+  void close();
+
+ private:
+  void accept();
+
+  event_loop& loop_;
+  tcp::acceptor acceptor_;
+  on_session handler_;
+  std::uint64_t last_ = 0;
+  std::vector<std::weak_ptr<link_session>> sessions_;
+};
+
+/// Connections that this process opens, one for small messages and one for
+/// large ones to each peer, so that a large body does not delay small ones.
+class link_dialer {
+ public:
+  struct handlers {
+    std::function<void(const vm_address&, fleet_message)> on_message;
+    /// The link for small messages is open.
+    std::function<void(const vm_address&)> on_up;
+    /// A link is lost with all that was under way on it.
+    std::function<void(const vm_address&, bool large)> on_down;
+  };
+
+  link_dialer(event_loop& loop, handlers to);
+
+  /// Keeps links to these peers open and closes those to others.
+  void set_peers(const std::vector<vm_address>& peers);
+
+  /// False when there is no open link; nothing was sent then.
+  auto send(const vm_address& to, const fleet_message& message) -> bool;
+
+  /// Which link a message of `bytes` takes.
+  static auto is_large(std::size_t bytes) -> bool;
+
+  [[nodiscard]] auto is_up(const vm_address& peer) const -> bool;
+
+  /// Reopens lost links and checks silent ones; call it every 50 ms or so.
+  void check(time_point now);
+
+ private:
+  struct peer_state {
+    std::shared_ptr<link_session> session;
+    std::shared_ptr<tcp::socket> connecting;
+    time_point connect_since;
+    time_point next_try;
+    duration backoff;
+    bool wanted = true;
+  };
+  struct key {
+    vm_address address;
+    bool large = false;
+
+    friend auto operator<=>(const key&, const key&) = default;
+  };
+
+  void connect(const key& to, peer_state& x, time_point now);
+  void opened(const key& to, const std::shared_ptr<tcp::socket>& socket);
+  void lost(const key& to, std::uint64_t number);
+
+  event_loop& loop_;
+  handlers handlers_;
+  std::map<key, peer_state> peers_;
+  std::uint64_t last_ = 0;
+};
+
+}  // namespace figwind
--- /dev/null
+++ b/src/decisions/announcement.cc
@@ -0,0 +1,92 @@
+#include "figwind/announcement.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace figwind {
+namespace {
+
+// Lives that left are kept to refuse late announcements, some seconds long.
+constexpr std::size_t most_left = 256;
+
+}  // namespace
+
+auto to_string(announced_state x) -> std::string {
+  switch (x) {
+    case announced_state::serving:
+      return "serving";
+    case announced_state::draining:
+      return "draining";
+    case announced_state::left:
+      break;
+  }
+  return "left";
+}
+
+auto to_string(announcement_effect x) -> std::string {
+  switch (x) {
+    case announcement_effect::stale:
+      return "stale";
+    case announcement_effect::refreshed:
+      return "refreshed";
+    case announcement_effect::changed:
+      return "changed";
+    case announcement_effect::foreign:
+      break;
+  }
+  return "foreign";
+}
+
+auto announcements::is_newer(const announcement& x) const -> bool {
+  if (!current_) return true;
+  if (x.born_ms != current_->born_ms) return x.born_ms > current_->born_ms;
+  // Two servers without a start time are told apart by their names only.
+  if (x.server != current_->server) return x.sequence >= current_->sequence;
+  return x.sequence > current_->sequence;
+}
+
+auto announcements::take(const announcement& x, time_point now)
+    -> announcement_effect {
+  if (x.address != address_) return announcement_effect::foreign;
+  const auto left = left_.find(x.server);
+  if (left != left_.end() && x.born_ms <= left->second) {
+    return announcement_effect::stale;
+  }
+  if (!is_newer(x)) return announcement_effect::stale;
+  const auto same = current_ && current_->server == x.server &&
+                    current_->born_ms == x.born_ms &&
+                    current_->state == x.state &&
+                    current_->service == x.service &&
+                    current_->slots == x.slots;
+  current_ = x;
+  heard_ = now;
+  return same ? announcement_effect::refreshed : announcement_effect::changed;
+}
+
+auto announcements::leave(const server_name& server, std::int64_t born_ms,
+                          time_point now) -> announcement_effect {
+  const auto is_current = current_ && current_->server == server;
+  const auto life =
+      born_ms != 0 ? born_ms : (is_current ? current_->born_ms : 0);
+  if (left_.size() >= most_left) left_.erase(left_.begin());
+  auto& known = left_[server];
+  known = std::max(known, life);
+  if (!is_current || current_->born_ms > known) {
+    return announcement_effect::stale;
+  }
+  if (current_->state == announced_state::left) {
+    return announcement_effect::refreshed;
+  }
+  current_->state = announced_state::left;
+  heard_ = now;
+  return announcement_effect::changed;
+}
+
+void announcements::set_address(vm_address address) {
+  if (address == address_) return;
+  address_ = std::move(address);
+  current_.reset();
+  left_.clear();
+}
+
+}  // namespace figwind
--- a/src/decisions/consensus.cc
+++ b/src/decisions/consensus.cc
@@ -253,6 +253,12 @@
   return snapshot_ ? snapshot_->members : none;
 }
 
+auto consensus::last_heard(member_id id) const -> time_point {
+  auto found = followers_.find(id);
+  return found == followers_.end() ? time_point{-1e18}
+                                   : found->second.last_reply;
+}
+
 auto consensus::address_of(member_id id) const -> vm_address {
   const auto* known = find_member(members(), id);
   auto heard = heard_from_.find(id);
@@ -390,6 +396,7 @@
 void consensus::set_leader(member_id leader, bool isolated) {
   if (leader == leader_ && !isolated) return;
   leader_ = leader;
+  leader_since_ = now_;
   output_.news.push_back({state_.term, leader, isolated});
 }
 
--- /dev/null
+++ b/src/decisions/fleet_member.cc
@@ -0,0 +1,369 @@
+#include "figwind/fleet_member.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "figwind/bytes.h"
+
+namespace figwind {
+namespace {
+
+constexpr auto record_name = "desired-state";
+constexpr auto push_period = milliseconds(20);
+constexpr std::size_t least_voters = 3;
+constexpr std::size_t most_voters = 7;
+// Bounds what processes with invented ids can take.
+constexpr std::size_t most_candidates = 64;
+
+auto encode_desired(const desired_state& x) -> std::string {
+  auto to = byte_writer{};
+  to.put_u64(x.label.value);
+  to.put_string(x.text);
+  return to.take();
+}
+
+auto decode_desired(const std::string& bytes) -> desired_state {
+  auto from = byte_reader{bytes};
+  auto label = from.get_u64();
+  auto text = from.get_string();
+  return {{label}, std::move(text)};
+}
+
+}  // namespace
+
+fleet_member::fleet_member(fleet_member_options options,
+                           const durable_state& from_disk, time_point now)
+    : options_{std::move(options)},
+      random_{options_.seed},
+      consensus_{options_.consensus, from_disk, random_source{random_.bits()},
+                 now},
+      directory_{random_.bits() | 1U, options_.directory} {
+  if (from_disk.snapshot) {
+    store_.restore(from_disk.snapshot->state);
+    adopt_record();
+  }
+}
+
+auto fleet_member::tick(time_point now) -> member_output {
+  auto out = member_output{};
+  add(out, consensus_.tick(now));
+  say_hello(now, out);
+  if (leads()) {
+    adjust_members(now, out);
+  } else if (!waiting_.empty()) {
+    fail_waiting(out);
+  }
+  if (consensus_.wants_compaction()) {
+    add(out, consensus_.compact(store_.snapshot()));
+  }
+  push_updates(now, out);
+  return out;
+}
+
+auto fleet_member::on_message(const fleet_message& message, time_point now)
+    -> member_output {
+  auto out = member_output{};
+  if (const auto* status = std::get_if<node_status>(&message)) {
+    handle(*status, now, out);
+  } else if (const auto* hello = std::get_if<member_hello>(&message)) {
+    handle(*hello, now, out);
+  } else if (const auto* m = std::get_if<consensus_message>(&message)) {
+    handle(*m, now, out);
+  }
+  return out;
+}
+
+auto fleet_member::persisted(std::uint64_t batch) -> member_output {
+  auto out = member_output{};
+  add(out, consensus_.persisted(batch));
+  return out;
+}
+
+auto fleet_member::storage_failed() -> member_output {
+  auto out = member_output{};
+  add(out, consensus_.storage_failed());
+  fail_waiting(out);
+  return out;
+}
+
+void fleet_member::add(member_output& out, consensus_output from) {
+  if (from.persist) out.persist.push_back(std::move(*from.persist));
+  for (auto& x : from.send) {
+    auto to = x.address.value.empty() ? consensus_.address_of(x.to) : x.address;
+    if (!to.value.empty()) out.messages.push_back({to, std::move(x.message)});
+  }
+  if (from.restore) {
+    store_.restore(from.restore->state);
+    adopt_record();
+  }
+  for (const auto& entry : from.apply) apply(entry, out);
+  for (const auto& x : from.settled) settle(x, out);
+  for (const auto& news : from.news) out.news.push_back(news);
+}
+
+void fleet_member::apply(const log_entry& entry, member_output& out) {
+  // An empty command is a barrier of a read.
+  if (entry.kind != entry_kind::command || entry.bytes.empty()) return;
+  auto applied = store_.apply(entry.bytes);
+  if (!ok(applied)) return;
+  adopt_record();
+  const auto& change = value(applied);
+  auto found = proposed_.find(change.id);
+  if (found == proposed_.end()) return;
+  auto ticket = found->second;
+  proposed_.erase(found);
+  auto accepted = change.answer.status == change_status::accepted;
+  reply(ticket, accepted ? desired_status::done : desired_status::conflict,
+        out);
+}
+
+void fleet_member::adopt_record() {
+  const auto* record = store_.find_record(record_name);
+  if (record == nullptr || record->version == version_.value) return;
+  version_ = {record->version};
+  current_ = decode_desired(record->bytes);
+  for (auto& [address, node] : nodes_) node.due = true;
+}
+
+void fleet_member::settle(const settled_proposal& x, member_output& out) {
+  auto found = waiting_.find(x.index);
+  if (found == waiting_.end()) return;
+  auto waiter = std::move(found->second);
+  waiting_.erase(found);
+  if (!x.accepted) {
+    reply(waiter.ticket, desired_status::unknown, out);
+  } else if (!waiter.change) {
+    reply(waiter.ticket, desired_status::done, out);
+  } else {
+    propose_change(waiter, out);
+  }
+}
+
+void fleet_member::propose_change(const waiting& x, member_output& out) {
+  const auto& change = *x.change;
+  const auto* known = store_.find_answer(change.id);
+  if (known != nullptr && known->status == change_status::accepted) {
+    reply(x.ticket, desired_status::done, out);
+    return;
+  }
+  if (change.base != current_.label) {
+    reply(x.ticket, desired_status::conflict, out);
+    return;
+  }
+  if (change.next.label <= current_.label) {
+    reply(x.ticket, desired_status::stale_label, out);
+    return;
+  }
+  if (proposed_.count(change.id) != 0) {
+    // The same change is under way; its sender asks again for the outcome.
+    reply(x.ticket, desired_status::unknown, out);
+    return;
+  }
+  auto bytes = encode_change(record_change{change.id, record_name,
+                                           version_.value,
+                                           encode_desired(change.next)});
+  proposed_[change.id] = x.ticket;
+  auto proposed = consensus_.propose(std::move(bytes));
+  const auto status = proposed.status;
+  add(out, std::move(proposed.output));
+  if (status == proposal_status::pending) return;
+  proposed_.erase(change.id);
+  auto too_large = status == proposal_status::too_large;
+  reply(x.ticket,
+        too_large ? desired_status::too_large : desired_status::unknown, out);
+}
+
+void fleet_member::reply(member_ticket ticket, desired_status status,
+                         member_output& out) {
+  out.replies.push_back({ticket, status, current_});
+}
+
+void fleet_member::fail_waiting(member_output& out) {
+  for (const auto& [index, x] : std::exchange(waiting_, {})) {
+    reply(x.ticket, desired_status::unknown, out);
+  }
+  for (const auto& [id, ticket] : std::exchange(proposed_, {})) {
+    reply(ticket, desired_status::unknown, out);
+  }
+}
+
+auto fleet_member::start(std::optional<desired_change> change,
+                         member_output& out) -> member_ticket {
+  const auto ticket = ++last_ticket_;
+  auto barrier = consensus_.propose({});
+  if (barrier.status != proposal_status::pending) {
+    reply(ticket, desired_status::unknown, out);
+    return ticket;
+  }
+  waiting_[barrier.index] = {ticket, std::move(change)};
+  add(out, std::move(barrier.output));
+  return ticket;
+}
+
+auto fleet_member::change(const desired_change& change, member_output& out)
+    -> member_ticket {
+  return start(change, out);
+}
+
+auto fleet_member::read(member_output& out) -> member_ticket {
+  return start(std::nullopt, out);
+}
+
+auto fleet_member::leader_address() const -> vm_address {
+  auto leader = consensus_.leader();
+  return leader.value == 0 ? vm_address{} : consensus_.address_of(leader);
+}
+
+auto fleet_member::peers() const -> std::vector<vm_address> {
+  auto all = std::set<vm_address>{seeds_.begin(), seeds_.end()};
+  for (const auto& m : consensus_.members().members) all.insert(m.address);
+  for (const auto& [id, x] : candidates_) all.insert(x.address);
+  all.erase(options_.consensus.address);
+  all.erase(vm_address{});
+  return {all.begin(), all.end()};
+}
+
+void fleet_member::say_hello(time_point now, member_output& out) {
+  if (now < next_hello_) return;
+  next_hello_ = now + options_.hello_period;
+  auto voter = consensus_.standing() == member_standing::voter;
+  auto hello = member_hello{options_.consensus.self, options_.consensus.address,
+                            voter};
+  for (auto& to : peers()) out.messages.push_back({to, hello});
+}
+
+auto fleet_member::silent_voter(time_point now, duration limit) const
+    -> member_id {
+  for (const auto& m : consensus_.members().members) {
+    if (!m.voter || m.id == options_.consensus.self) continue;
+    if (now - consensus_.last_heard(m.id) > limit) return m.id;
+  }
+  return {};
+}
+
+void fleet_member::adjust_members(time_point now, member_output& out) {
+  std::erase_if(candidates_, [&](const auto& x) {
+    return now - x.second.heard > options_.hello_period * 4;
+  });
+  const auto& all = consensus_.members();
+  const auto voters = voter_count(all);
+  // One change at a time: a learner has to become a voter first.
+  if (all.members.size() != voters) return;
+  for (const auto& [id, x] : candidates_) {
+    if (find_member(all, id) != nullptr) continue;
+    auto silent = silent_voter(now, options_.replace_after);
+    if (silent.value == 0 && voters >= most_voters) continue;
+    auto added = consensus_.add_member(id, x.address, silent);
+    if (added.status == proposal_status::pending) {
+      out.membership_changes.push_back(
+          "added " + x.address.value +
+          (silent.value == 0
+               ? std::string{}
+               : " for " + consensus_.address_of(silent).value));
+    }
+    add(out, std::move(added.output));
+    return;
+  }
+  auto silent = silent_voter(now, options_.remove_after);
+  if (silent.value == 0 || voters <= least_voters) return;
+  auto address = consensus_.address_of(silent);
+  auto removed = consensus_.remove_member(silent);
+  if (removed.status == proposal_status::pending) {
+    out.membership_changes.push_back("removed " + address.value);
+  }
+  add(out, std::move(removed.output));
+}
+
+auto fleet_member::is_current(time_point now) const -> bool {
+  auto standing = consensus_.standing();
+  if (standing != member_standing::voter &&
+      standing != member_standing::learner) {
+    return false;
+  }
+  if (leads()) return true;
+  return consensus_.leader().value != 0 &&
+         now - consensus_.leader_since() > options_.current_after;
+}
+
+auto fleet_member::make_update(known_node& node, time_point now)
+    -> member_update {
+  auto out = member_update{};
+  auto& status = node.status;
+  out.member = options_.consensus.address;
+  out.domain = options_.domain;
+  out.current = is_current(now);
+  out.version = version_;
+  if (status.wants_config && status.held < version_) {
+    out.config = current_.text;
+    // What a link has taken counts as delivered; the next status corrects it.
+    status.held = version_;
+  }
+  out.members = peers();
+  const auto* report = directory_.find(status.report.node.address);
+  if (report != nullptr) {
+    out.report_number = report->number;
+    out.known_start = report->node.start;
+  }
+  out.epoch = directory_.epoch();
+  if (status.wants_directory) {
+    out.entries = directory_.changes(status.epoch, status.cursor);
+    status.epoch = directory_.epoch();
+    status.cursor = directory_.cursor();
+  }
+  out.cursor = directory_.cursor();
+  if (report != nullptr && status.report.number == 0) {
+    out.entries.push_back({*report, false});
+  }
+  return out;
+}
+
+void fleet_member::push_updates(time_point now, member_output& out) {
+  if (now < next_push_) return;
+  next_push_ = now + push_period;
+  directory_.expire(now);
+  auto current = is_current(now);
+  auto all_due = current != was_current_;
+  was_current_ = current;
+  for (auto at = nodes_.begin(); at != nodes_.end();) {
+    auto& node = at->second;
+    if (now - node.heard > options_.directory.lease) {
+      at = nodes_.erase(at);
+      continue;
+    }
+    auto news = node.status.wants_directory &&
+                (node.status.epoch != directory_.epoch() ||
+                 node.status.cursor < directory_.cursor());
+    if (all_due || node.due || news) {
+      node.due = false;
+      out.messages.push_back({at->first, make_update(node, now)});
+    }
+    ++at;
+  }
+}
+
+void fleet_member::handle(const node_status& m, time_point now,
+                          member_output& out) {
+  directory_.take(m.report, now);
+  auto& node = nodes_[m.report.node.address];
+  node.status = m;
+  node.heard = now;
+  node.due = false;
+  out.messages.push_back({m.report.node.address, make_update(node, now)});
+}
+
+void fleet_member::handle(const member_hello& m, time_point now,
+                          member_output& /*out*/) {
+  if (m.id == options_.consensus.self) return;
+  if (candidates_.count(m.id) == 0 && candidates_.size() >= most_candidates) {
+    return;
+  }
+  candidates_[m.id] = {m.address, now};
+}
+
+void fleet_member::handle(const consensus_message& m, time_point now,
+                          member_output& out) {
+  add(out, consensus_.receive(m, now));
+}
+
+}  // namespace figwind
--- /dev/null
+++ b/src/decisions/route_calls.cc
@@ -0,0 +1,221 @@
+#include "figwind/route_calls.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace figwind {
+namespace {
+
+// A caller that waits longer than an eighth of the target in a queue is better
+// served by a server that has room, or by coming again.
+constexpr auto wait_share = 0.125;
+constexpr auto least_wait = milliseconds(5);
+// Callers that were refused return spread over this time, so that they do not
+// arrive together.
+constexpr auto overload_pause = milliseconds(300);
+constexpr auto no_server_pause = milliseconds(200);
+// What a repeat needs at least to be worth its work, as a share of the target.
+constexpr auto repeat_share = 0.1;
+
+}  // namespace
+
+void repeat_budget::decay(time_point now) {
+  const auto kept = std::exp(-((now - last_) / window_));
+  last_ = now;
+  requests_ *= kept;
+  repeats_ *= kept;
+}
+
+void repeat_budget::count_request(time_point now) {
+  decay(now);
+  requests_ += 1;
+}
+
+auto repeat_budget::take(time_point now) -> bool {
+  decay(now);
+  if (repeats_ + 1 > ratio_ * requests_ + slack_) return false;
+  repeats_ += 1;
+  return true;
+}
+
+route_calls::route_calls(route_call_options options, random_source random)
+    : options_{std::move(options)},
+      random_{random},
+      balancer_{balancer_settings{options_.self, options_.domain}} {}
+
+void route_calls::set_servers(const service_name& service,
+                              const std::vector<server>& servers) {
+  auto& known = servers_[service];
+  if (known == servers) return;
+  known = servers;
+  balancer_.set_servers(service, servers);
+}
+
+auto route_calls::budget_of(const service_name& service) -> repeat_budget& {
+  return budgets_
+      .try_emplace(service, options_.repeat_ratio, options_.repeat_slack,
+                   options_.repeat_window)
+      .first->second;
+}
+
+auto route_calls::start(const route& to, const route_request& request,
+                        time_point now) -> call_steps {
+  const auto number = ++last_call_;
+  auto& x = calls_[number];
+  x.request = request;
+  x.name = to.name;
+  x.repeat = to.repeat;
+  x.target_latency = to.target_latency;
+  x.started = now;
+  x.most_attempts = to.attempts;
+  x.deadline = now + std::min(request.time_left, to.timeout);
+  deadlines_.emplace(std::pair{x.deadline.ms, number}, 0);
+  const auto* part = choose_part(to, random_.unit());
+  if (part == nullptr) {
+    return finish(number, route_end::not_run, refusal::no_server);
+  }
+  x.service = part->service;
+  budget_of(x.service).count_request(now);
+  return send(number, x, false, now);
+}
+
+auto route_calls::send(std::uint64_t number, active_call& x, bool repeated,
+                       time_point now) -> call_steps {
+  const auto chosen = balancer_.choose(x.service, x.excluded, now, random_,
+                                       !repeated && x.refusals == 0);
+  if (chosen.target == nullptr) {
+    // Only a request that was never sent may be called "not run".
+    const auto end =
+        x.attempts == 0 ? route_end::not_run : route_end::failed;
+    return finish(number, end, chosen.reason);
+  }
+  const auto& target = *chosen.target;
+  x.excluded.push_back(target.id);
+  x.node = target.call_address;
+  x.ticket = balancer_.started(x.service, chosen, x.name, now);
+  ++x.attempts;
+  auto out = call_steps{};
+  const auto wait = std::max(x.target_latency * wait_share, least_wait);
+  out.send = send_step{number,
+                       x.node,
+                       x.service,
+                       names_[target.id],
+                       x.deadline - now,
+                       wait,
+                       repeated};
+  return out;
+}
+
+auto route_calls::may_repeat(active_call& x, time_point now) -> bool {
+  if (x.repeat != repeat_rule::idempotent) return false;
+  if (x.attempts >= x.most_attempts) return false;
+  if (x.deadline - now < x.target_latency * repeat_share) return false;
+  return budget_of(x.service).take(now);
+}
+
+auto route_calls::send_again(std::uint64_t number, active_call& x,
+                             time_point now) -> call_steps {
+  if (!may_repeat(x, now)) {
+    return finish(number, route_end::failed, refusal::retries_spent);
+  }
+  return send(number, x, true, now);
+}
+
+auto route_calls::on_answer(const call_answer& answer, time_point now)
+    -> call_steps {
+  const auto found = calls_.find(answer.call);
+  if (found == calls_.end()) return {};
+  auto& x = found->second;
+  const auto ticket = std::exchange(x.ticket, 0);
+  if (answer.end == call_end::answered) {
+    const auto failed = answer.status >= 500;
+    balancer_.finished(
+        ticket, failed ? attempt_end::failed : attempt_end::answered, now);
+    return finish(answer.call, route_end::answered, refusal::none);
+  }
+  if (answer.end == call_end::broken) {
+    balancer_.finished(ticket, attempt_end::failed, now);
+    return send_again(answer.call, x, now);
+  }
+  if (answer.reason == refusal::no_server) {
+    balancer_.finished(ticket, attempt_end::lost, now);
+  } else {
+    balancer_.refused(ticket, answer.reason, now);
+  }
+  --x.attempts;
+  ++x.refusals;
+  const auto spent = x.refusals >= options_.most_refusals;
+  if (spent || answer.reason == refusal::deadline) {
+    const auto end = x.attempts == 0 ? route_end::not_run : route_end::failed;
+    return finish(answer.call, end, answer.reason);
+  }
+  return send(answer.call, x, x.attempts > 0, now);
+}
+
+auto route_calls::on_link_lost(std::uint64_t call, bool sent, time_point now)
+    -> call_steps {
+  const auto found = calls_.find(call);
+  if (found == calls_.end()) return {};
+  auto& x = found->second;
+  balancer_.finished(std::exchange(x.ticket, 0), attempt_end::lost, now);
+  if (sent) return send_again(call, x, now);
+  --x.attempts;
+  ++x.refusals;
+  if (x.refusals < options_.most_refusals) {
+    return send(call, x, x.attempts > 0, now);
+  }
+  const auto end = x.attempts == 0 ? route_end::not_run : route_end::failed;
+  return finish(call, end, refusal::no_server);
+}
+
+auto route_calls::on_caller_gone(std::uint64_t call, time_point now)
+    -> call_steps {
+  const auto found = calls_.find(call);
+  if (found == calls_.end()) return {};
+  auto& x = found->second;
+  auto out = call_steps{};
+  if (x.ticket != 0) {
+    balancer_.finished(std::exchange(x.ticket, 0), attempt_end::cancelled, now);
+    out.cancel.push_back({call, x.node});
+  }
+  deadlines_.erase({x.deadline.ms, call});
+  calls_.erase(found);
+  return out;
+}
+
+auto route_calls::on_time(time_point now) -> std::vector<call_steps> {
+  auto out = std::vector<call_steps>{};
+  while (!deadlines_.empty() && deadlines_.begin()->first.first <= now.ms) {
+    const auto number = deadlines_.begin()->first.second;
+    auto& x = calls_.at(number);
+    auto cancel = std::vector<cancel_step>{};
+    if (x.ticket != 0) {
+      // No answer within the time of the route is a slow server.
+      balancer_.finished(std::exchange(x.ticket, 0), attempt_end::failed, now);
+      cancel.push_back({number, x.node});
+    }
+    out.push_back(finish(number, route_end::timed_out, refusal::deadline));
+    out.back().cancel = std::move(cancel);
+  }
+  return out;
+}
+
+auto route_calls::retry_after(refusal reason) -> duration {
+  const auto base =
+      reason == refusal::overload ? overload_pause : no_server_pause;
+  return base * (1 + random_.unit());
+}
+
+auto route_calls::finish(std::uint64_t number, route_end end, refusal reason)
+    -> call_steps {
+  const auto found = calls_.find(number);
+  auto& x = found->second;
+  auto out = call_steps{};
+  out.end = end_step{number, end, reason, {}, x.node, x.attempts};
+  if (end == route_end::not_run) out.end->retry_after = retry_after(reason);
+  deadlines_.erase({x.deadline.ms, number});
+  calls_.erase(found);
+  return out;
+}
+
+}  // namespace figwind
--- /dev/null
+++ b/src/decisions/server_gate.cc
@@ -0,0 +1,155 @@
+#include "figwind/server_gate.h"
+
+#include <algorithm>
+
+namespace figwind {
+namespace {
+
+// Calls wait for calls to other services while they hold a slot, so service
+// times do not tell how loaded the server itself is; the declared slots are the
+// limit. Some servers slow down from 95% of their slots on.
+constexpr auto used_slots = 0.94;
+
+auto queue_options() -> run_queue_options {
+  constexpr auto never = 1e9;
+  auto out = run_queue_options{};
+  out.limit.tolerance = never;
+  out.longest_wait = milliseconds(150);
+  out.threshold.delay_target = milliseconds(40);
+  return out;
+}
+
+auto limit_of(const announcement& server) -> int {
+  const auto slots = static_cast<int>(server.slots * used_slots);
+  return std::max(slots, 1);
+}
+
+auto context_of(const gate_call& from, const call_request& call)
+    -> call_context {
+  auto out = call_context{};
+  // Each call has a ticket of its own; ids of callers may repeat.
+  out.id = {from.peer, from.call};
+  out.name = call.name;
+  out.importance = call.priority + 1;
+  out.time_left = call.time_left;
+  return out;
+}
+
+}  // namespace
+
+void server_gate::set_server(const std::optional<announcement>& server,
+                             time_point now) {
+  const auto is_new = server && (!server_ || server->server != server_->server ||
+                                 server->born_ms != server_->born_ms);
+  server_ = server;
+  if (!server) return;
+  if (!queue_) {
+    queue_ = std::make_unique<run_queue>(queue_options(), limit_of(*server),
+                                         false, now);
+  } else if (is_new) {
+    queue_->set_slots(limit_of(*server));
+  }
+}
+
+auto server_gate::refusal_of(const call_request& call) const -> refusal {
+  if (closed_) return refusal::draining;
+  if (!server_ || !queue_) return refusal::no_server;
+  if (server_->state != announced_state::serving) return refusal::draining;
+  if (server_->service != call.service) return refusal::no_server;
+  return refusal::none;
+}
+
+auto server_gate::arrive(const gate_call& from, const call_request& call,
+                         time_point now) -> gate_steps {
+  auto out = gate_steps{};
+  const auto reason = refusal_of(call);
+  if (reason != refusal::none) {
+    out.refuse.push_back({from, reason});
+    return out;
+  }
+  const auto arrived = queue_->arrive(context_of(from, call), now);
+  if (arrived.verdict == arrival_verdict::refused) {
+    out.refuse.push_back({from, arrived.reason});
+    return out;
+  }
+  const auto wait = std::min(call.longest_wait, call.time_left);
+  calls_[from] = {arrived.ticket, now + wait, false};
+  by_ticket_[arrived.ticket.value] = from;
+  if (arrived.verdict == arrival_verdict::start) start(from, out);
+  take(queue_->tick(now), out);
+  return out;
+}
+
+void server_gate::start(const gate_call& which, gate_steps& out) {
+  calls_.at(which).running = true;
+  out.start.push_back(which);
+}
+
+void server_gate::take(queue_actions actions, gate_steps& out) {
+  for (const auto& ticket : actions.start) {
+    const auto found = by_ticket_.find(ticket.value);
+    if (found != by_ticket_.end()) start(found->second, out);
+  }
+  for (const auto& x : actions.refused) {
+    const auto found = by_ticket_.find(x.ticket.value);
+    if (found == by_ticket_.end()) continue;
+    out.refuse.push_back({found->second, x.reason});
+    calls_.erase(found->second);
+    by_ticket_.erase(found);
+  }
+}
+
+auto server_gate::finish(const gate_call& which, bool complete, time_point now)
+    -> gate_steps {
+  auto out = gate_steps{};
+  const auto found = calls_.find(which);
+  if (found == calls_.end()) return out;
+  const auto ticket = found->second.ticket;
+  const auto status = complete ? call_status::complete : call_status::failed;
+  queue_->finish(ticket, now, {status, {}});
+  by_ticket_.erase(ticket.value);
+  calls_.erase(found);
+  take(queue_->tick(now), out);
+  return out;
+}
+
+auto server_gate::cancel(const gate_call& which, time_point now)
+    -> gate_steps {
+  auto out = gate_steps{};
+  const auto found = calls_.find(which);
+  if (found == calls_.end()) return out;
+  if (found->second.running) {
+    out.abandon.push_back(which);
+    return out;
+  }
+  queue_->cancel({which.peer, which.call}, now);
+  by_ticket_.erase(found->second.ticket.value);
+  calls_.erase(found);
+  return out;
+}
+
+auto server_gate::tick(time_point now) -> gate_steps {
+  auto out = gate_steps{};
+  if (!queue_) return out;
+  take(queue_->tick(now), out);
+  if (queue_->queued() == 0) return out;
+  auto late = std::vector<gate_call>{};
+  for (const auto& [which, x] : calls_) {
+    if (!x.running && x.latest_start <= now) late.push_back(which);
+  }
+  for (const auto& which : late) {
+    cancel(which, now);
+    out.refuse.push_back({which, refusal::overload});
+  }
+  return out;
+}
+
+auto server_gate::in_flight() const -> int {
+  return queue_ ? queue_->in_flight() : 0;
+}
+
+auto server_gate::queued() const -> int {
+  return queue_ ? queue_->queued() : 0;
+}
+
+}  // namespace figwind
