Keep links while calls wait; count refusals of servers as repeats

Cause: UNASKED: a VM that took over an address named the service that an earlier VM had there. LOST: a link to a server that drains was closed while calls waited for its answers. BUDGET: a request that servers refused went on to others, and each refusal counts as an arrival there. Change: the caller's service comes from the settings; links stay open while calls wait; a resend after a refusal of the server itself needs the repeat budget.

--- a/include/figwind/fleet_messages.h
+++ b/include/figwind/fleet_messages.h
@@ -111,6 +111,8 @@
   std::uint64_t call = 0;
   call_end end = call_end::broken;
   refusal reason = refusal::none;
+  /// With `not_run`: true when the backend server itself refused it.
+  bool reached_server = false;
   std::int32_t status = 0;
   header_list headers;
   std::string body;
@@ -163,7 +165,7 @@
 }
 template <class Inspector>
 auto inspect(Inspector& f, call_answer& x) {
-  return f(x.call, x.end, x.reason, x.status, x.headers, x.body);
+  return f(x.call, x.end, x.reason, x.reached_server, x.status, x.headers, x.body);
 }
 template <class Inspector>
 auto inspect(Inspector& f, call_cancel& x) {
--- a/src/adapters/fleet_node.cc
+++ b/src/adapters/fleet_node.cc
@@ -151,10 +151,10 @@
 }
 
 auto fleet_node::caller_service() const -> std::string {
+  // What was known of an earlier life may be of another VM with this address.
+  if (!settings_.service.value.empty()) return settings_.service.value;
   const auto& server = announcements_.current();
-  return server && server->state != announced_state::left
-             ? server->service.value
-             : settings_.service.value;
+  return server ? server->service.value : std::string{};
 }
 
 // Entry node.
@@ -265,7 +265,7 @@
         {answer->status, end_to_end(answer->headers), answer->body});
     return;
   }
-  log_info("call_ended_without_answer",
+  log_request("call_ended_without_answer",
            {{"request", call.id},
             {"route", call.route.value},
             {"end", static_cast<int>(step.end)},
@@ -320,6 +320,8 @@
     }
     calls_.set_servers(service, reachable.empty() ? all : reachable);
   }
+  // A server that drains still answers what it has taken.
+  for (const auto& [number, x] : sent_) peers.push_back(x.node);
   links_.set_peers(peers);
 }
 
@@ -415,6 +417,7 @@
     out.end = call_end::not_run;
     out.reason = x.status == status_misdirected ? refusal::no_server
                                                 : refusal::overload;
+    out.reached_server = true;
     return out;
   }
   const auto is_success = x.status >= 200 && x.status < 300;
@@ -440,7 +443,7 @@
   if (out.end != call_end::answered) {
     const auto* id =
         find_header(found->second.request.headers, headers_.request_id);
-    log_info("backend_gave_no_answer",
+    log_request("backend_gave_no_answer",
              {{"request", id == nullptr ? "" : *id},
               {"route", found->second.request.name.value},
               {"end", static_cast<int>(from.end)},
--- a/src/adapters/log.cc
+++ b/src/adapters/log.cc
@@ -27,9 +27,14 @@
   return duration_cast<std::chrono::milliseconds>(since_epoch).count();
 }
 
-auto admit(const std::string& event) -> std::optional<std::uint64_t> {
+constexpr auto request_limits = log_limits{400, seconds(10)};
+
+auto admit(const std::string& event, bool of_request)
+    -> std::optional<std::uint64_t> {
   static auto mutex = std::mutex{};
-  static auto limiter = log_limiter{};
+  static auto others = log_limiter{};
+  static auto requests = log_limiter{request_limits};
+  auto& limiter = of_request ? requests : others;
   using std::chrono::steady_clock;
   using ms = std::chrono::duration<double, std::milli>;
   auto lock = std::lock_guard{mutex};
@@ -39,8 +44,9 @@
 }
 
 void write(log4cplus::LogLevel level, const char* level_name,
-           const std::string& event, const log_fields& fields) {
-  auto suppressed = admit(event);
+           const std::string& event, const log_fields& fields,
+           bool of_request = false) {
+  auto suppressed = admit(event, of_request);
   if (!suppressed) return;
   auto line = log_fields{{"time_ms", now_ms()},
                          {"level", level_name},
@@ -55,12 +61,12 @@
 
 }  // namespace
 
-void open_log(const std::string& process) {
+void open_log(const std::string& process, log_stream to) {
   static log4cplus::Initializer initializer;
   process_name() = process;
   auto logger = log4cplus::Logger::getInstance("figwind");
   if (!logger.getAllAppenders().empty()) return;
-  constexpr auto to_stderr = true;
+  const auto to_stderr = to == log_stream::error;
   constexpr auto flush = true;
   auto appender = log4cplus::SharedAppenderPtr{
       new log4cplus::ConsoleAppender{to_stderr, flush}};
@@ -82,4 +88,8 @@
   write(log4cplus::ERROR_LOG_LEVEL, "error", event, fields);
 }
 
+void log_request(const std::string& event, const log_fields& fields) {
+  write(log4cplus::INFO_LOG_LEVEL, "info", event, fields, true);
+}
+
 }  // namespace figwind
--- a/src/decisions/route_calls.cc
+++ b/src/decisions/route_calls.cc
@@ -144,7 +144,10 @@
   }
   --x.attempts;
   ++x.refusals;
-  const auto spent = x.refusals >= options_.most_refusals;
+  // A server that was reached has counted an arrival, as for a repeat.
+  const auto spent =
+      x.refusals >= options_.most_refusals ||
+      (answer.reached_server && !budget_of(x.service).take(now));
   if (spent || answer.reason == refusal::deadline) {
     const auto end = x.attempts == 0 ? route_end::not_run : route_end::failed;
     return finish(answer.call, end, answer.reason);
