Give repeats after refusals a share of their own; count both exactly by window

Cause: with servers that refuse part of their requests, repeats were limited to 4% although a refused request makes no further calls.

--- a/include/figwind/route_calls.h
+++ b/include/figwind/route_calls.h
@@ -17,8 +17,10 @@
 #include <vector>
 
 #include "figwind/balancer.h"
+#include "figwind/class_throttle.h"
 #include "figwind/fleet_directory.h"
 #include "figwind/random.h"
+#include "figwind/repeat_budget.h"
 #include "figwind/route.h"
 
 namespace figwind {
@@ -27,16 +29,9 @@
 struct route_call_options {
   vm_address self;
   failure_domain domain;
-  /// Repeated sendings of a service, as a share of the requests for it. Calls
-  /// made by a repeated run count as repeats, too, so it stays well below the
-  /// bound of the whole system.
-  double repeat_ratio = 0.04;
-  /// Repeated sendings that are allowed without any requests.
-  double repeat_slack = 1;
-  /// Time over which requests and repeats are counted.
-  duration repeat_window = seconds(10);
+  repeat_options repeats;
   /// Server nodes that are asked when the ones before refuse.
-  int most_refusals = 3;
+  int most_refusals = 4;
 };
 
 /// A request of a caller, as far as the decisions need it.
@@ -92,28 +87,6 @@
   std::optional<end_step> end;
 };
 
-/// Repeated sendings that a node may make for one service: a share of the
-/// requests of a sliding window and a fixed slack.
-class repeat_budget {
- public:
-  repeat_budget(double ratio, double slack, duration window)
-      : ratio_{ratio}, slack_{slack}, window_{window} {}
-
-  void count_request(time_point now);
-  /// True when one more repeat is allowed; it then counts.
-  auto take(time_point now) -> bool;
-
- private:
-  void decay(time_point now);
-
-  double ratio_;
-  double slack_;
-  duration window_;
-  double requests_ = 0;
-  double repeats_ = 0;
-  time_point last_;
-};
-
 class route_calls {
  public:
   route_calls(route_call_options options, random_source random);
@@ -150,6 +123,7 @@
   struct active_call {
     route_request request;
     class_name name;
+    int priority = 0;
     service_name service;
     repeat_rule repeat = repeat_rule::at_most_once;
     duration target_latency;
@@ -173,10 +147,13 @@
   auto retry_after(refusal reason) -> duration;
   auto may_repeat(active_call& x, time_point now) -> bool;
   auto budget_of(const service_name& service) -> repeat_budget&;
+  auto may_resend_refused(const active_call& x, bool reached_server,
+                          time_point now) -> bool;
 
   route_call_options options_;
   random_source random_;
   balancer balancer_;
+  class_throttle throttle_;
   std::unordered_map<service_name, std::vector<server>> servers_;
   /// Names of the backend servers by node.
   std::unordered_map<node_id, server_name> names_;
--- a/src/adapters/fleet_node.cc
+++ b/src/adapters/fleet_node.cc
@@ -64,7 +64,7 @@
   auto out = route_call_options{};
   out.self = address_at(x.ip, x.link_port);
   out.domain = x.domain;
-  out.repeat_window = x.repeat_window;
+  out.repeats.window = x.repeat_window;
   return out;
 }
 
@@ -452,6 +452,8 @@
               {"not_run", out.end == call_end::not_run}});
   }
   const auto complete = out.end == call_end::answered && out.status < 500;
+  const auto ran = out.end != call_end::not_run;
+  if (ran) runs_.add(found->second.request.name, complete, steady_now());
   answer(which, std::move(out));
   carry_out(gate_.finish(which, complete, steady_now()));
 }
@@ -460,6 +462,7 @@
   const auto found = held_.find(which);
   if (found == held_.end()) return;
   const auto session = found->second.from.lock();
+  x.useful_share = runs_.useful_share(found->second.request.name);
   held_.erase(found);
   x.call = which.call;
   if (which.peer == own_session) {
--- a/src/adapters/fleet_node.h
+++ b/src/adapters/fleet_node.h
@@ -16,6 +16,7 @@
 #include "adapters/http_server.h"
 #include "adapters/peer_link.h"
 #include "figwind/announcement.h"
+#include "figwind/class_throttle.h"
 #include "figwind/fleet_settings.h"
 #include "figwind/fleet_subscriber.h"
 #include "figwind/route_calls.h"
@@ -134,6 +135,7 @@
   fleet_subscriber subscriber_;
   fleet_view view_;
   server_gate gate_;
+  run_record runs_;
   route_calls calls_;
   std::optional<route_table> routes_;
 
--- a/src/decisions/route_calls.cc
+++ b/src/decisions/route_calls.cc
@@ -1,7 +1,6 @@
 #include "figwind/route_calls.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace figwind {
 namespace {
@@ -9,7 +8,9 @@
 // A caller that waits longer than an eighth of the target in a queue is better
 // served by a server that has room, or by coming again.
 constexpr auto wait_share = 0.125;
-constexpr auto least_wait = milliseconds(5);
+// A call between services that is refused wastes the work of all above it, so
+// it waits longer than its short target suggests.
+constexpr auto least_wait = milliseconds(150);
 // Callers that were refused return spread over this time, so that they do not
 // arrive together.
 constexpr auto overload_pause = milliseconds(300);
@@ -19,25 +20,6 @@
 
 }  // namespace
 
-void repeat_budget::decay(time_point now) {
-  const auto kept = std::exp(-((now - last_) / window_));
-  last_ = now;
-  requests_ *= kept;
-  repeats_ *= kept;
-}
-
-void repeat_budget::count_request(time_point now) {
-  decay(now);
-  requests_ += 1;
-}
-
-auto repeat_budget::take(time_point now) -> bool {
-  decay(now);
-  if (repeats_ + 1 > ratio_ * requests_ + slack_) return false;
-  repeats_ += 1;
-  return true;
-}
-
 route_calls::route_calls(route_call_options options, random_source random)
     : options_{std::move(options)},
       random_{random},
@@ -52,10 +34,7 @@
 }
 
 auto route_calls::budget_of(const service_name& service) -> repeat_budget& {
-  return budgets_
-      .try_emplace(service, options_.repeat_ratio, options_.repeat_slack,
-                   options_.repeat_window)
-      .first->second;
+  return budgets_.try_emplace(service, options_.repeats).first->second;
 }
 
 auto route_calls::start(const route& to, const route_request& request,
@@ -64,12 +43,16 @@
   auto& x = calls_[number];
   x.request = request;
   x.name = to.name;
+  x.priority = to.priority;
   x.repeat = to.repeat;
   x.target_latency = to.target_latency;
   x.started = now;
   x.most_attempts = to.attempts;
   x.deadline = now + std::min(request.time_left, to.timeout);
   deadlines_.emplace(std::pair{x.deadline.ms, number}, 0);
+  if (!throttle_.admits(to.name, random_.unit())) {
+    return finish(number, route_end::not_run, refusal::overload);
+  }
   const auto* part = choose_part(to, random_.unit());
   if (part == nullptr) {
     return finish(number, route_end::not_run, refusal::no_server);
@@ -110,7 +93,7 @@
   if (x.repeat != repeat_rule::idempotent) return false;
   if (x.attempts >= x.most_attempts) return false;
   if (x.deadline - now < x.target_latency * repeat_share) return false;
-  return budget_of(x.service).take(now);
+  return budget_of(x.service).take(repeat_cause::run, now);
 }
 
 auto route_calls::send_again(std::uint64_t number, active_call& x,
@@ -127,6 +110,7 @@
   if (found == calls_.end()) return {};
   auto& x = found->second;
   const auto ticket = std::exchange(x.ticket, 0);
+  throttle_.observe(x.name, x.priority, answer.useful_share, now);
   if (answer.end == call_end::answered) {
     const auto failed = answer.status >= 500;
     balancer_.finished(
@@ -144,10 +128,7 @@
   }
   --x.attempts;
   ++x.refusals;
-  // A server that was reached has counted an arrival, as for a repeat.
-  const auto spent =
-      x.refusals >= options_.most_refusals ||
-      (answer.reached_server && !budget_of(x.service).take(now));
+  const auto spent = !may_resend_refused(x, answer.reached_server, now);
   if (spent || answer.reason == refusal::deadline) {
     const auto end = x.attempts == 0 ? route_end::not_run : route_end::failed;
     return finish(answer.call, end, answer.reason);
@@ -155,6 +136,15 @@
   return send(answer.call, x, x.attempts > 0, now);
 }
 
+auto route_calls::may_resend_refused(const active_call& x,
+                                     bool reached_server, time_point now)
+    -> bool {
+  if (x.refusals >= options_.most_refusals) return false;
+  // A server that was reached counts an arrival, as for a repeat.
+  return !reached_server ||
+         budget_of(x.service).take(repeat_cause::refusal, now);
+}
+
 auto route_calls::on_link_lost(std::uint64_t call, bool sent, time_point now)
     -> call_steps {
   const auto found = calls_.find(call);
@@ -187,6 +177,7 @@
 }
 
 auto route_calls::on_time(time_point now) -> std::vector<call_steps> {
+  throttle_.update(now);
   auto out = std::vector<call_steps>{};
   while (!deadlines_.empty() && deadlines_.begin()->first.first <= now.ms) {
     const auto number = deadlines_.begin()->first.second;
