--- a/src/decisions/server_gate.cc
+++ b/src/decisions/server_gate.cc
@@ -14,6 +14,9 @@
   constexpr auto never = 1e9;
   auto out = run_queue_options{};
   out.limit.tolerance = never;
+  // All classes here are short next to their deadlines; a class that is many
+  // times longer than another one is not to be kept from idle slots.
+  out.split.long_ratio = never;
   out.longest_wait = milliseconds(150);
   out.threshold.delay_target = milliseconds(40);
   return out;
