Count repeats that calls inherit; admit classes by useful runs; fix joins

Cause: repeats of a run make its calls again, which the node of that server can estimate from the share of repeated runs; a fixed small bound wasted the rest.

--- a/include/figwind/class_throttle.h
+++ b/include/figwind/class_throttle.h
@@ -22,16 +22,18 @@
 struct throttle_options {
   /// Share of useful runs below which a class counts as failing, and from which
   /// on it counts as well.
-  double failing_below = 0.0;
-  double well_from = 0.93;
+  double failing_below = 0.6;
+  double well_from = 0.75;
   /// Time between two changes.
   duration period = milliseconds(100);
   /// Factor of one decrease and step of one increase.
-  double decrease = 0.85;
-  double increase = 0.03;
+  double decrease = 0.9;
+  double increase = 0.05;
   /// The admitted share never falls below it: some requests have to show
   /// whether runs succeed again.
   double least = 0.05;
+  /// The same for the most important of the classes.
+  double least_of_first = 0.5;
   /// A report counts for this time.
   duration memory = seconds(1);
   /// Time constant with which reports of several servers are averaged.
@@ -68,6 +70,7 @@
 
   [[nodiscard]] auto is_recent(const state& x, time_point now) const -> bool;
   [[nodiscard]] auto is_failing(const state& x, time_point now) const -> bool;
+  [[nodiscard]] auto least_of(const state& x) const -> double;
   /// Rank of the failing classes that are to be reduced next.
   [[nodiscard]] auto reduced_rank(time_point now) const -> std::optional<int>;
 
--- a/include/figwind/consensus.h
+++ b/include/figwind/consensus.h
@@ -218,6 +218,8 @@
   auto last_heard(member_id id) const -> time_point;
   /// Since when `leader()` is what it is.
   auto leader_since() const -> time_point { return leader_since_; }
+  /// When a follower last heard the leader.
+  auto leader_heard() const -> time_point { return last_contact_; }
   /// Where the agreed disk of `id` is; empty when it was never heard of.
   auto address_of(member_id id) const -> vm_address;
 
--- a/include/figwind/fleet_member.h
+++ b/include/figwind/fleet_member.h
@@ -81,6 +81,11 @@
   duration remove_after = seconds(30);
   /// A process that wants to be a member repeats it within this time.
   duration hello_period = milliseconds(500);
+  /// A voter that is silent this long may be about to be replaced; no member is
+  /// added before that is clear.
+  duration doubtful_after = milliseconds(300);
+  /// A follower that has not heard its leader for this time may be isolated.
+  duration leader_silence = milliseconds(500);
   /// A follower's version counts as current once it has known its leader for
   /// this long, some heartbeats.
   duration current_after = milliseconds(300);
@@ -152,6 +157,7 @@
   void adjust_members(time_point now, member_output& out);
   void push_updates(time_point now, member_output& out);
   auto make_update(known_node& node, time_point now) -> member_update;
+  [[nodiscard]] auto address_of(member_id id) const -> vm_address;
   [[nodiscard]] auto is_current(time_point now) const -> bool;
   [[nodiscard]] auto silent_voter(time_point now, duration limit) const
       -> member_id;
--- a/include/figwind/fleet_messages.h
+++ b/include/figwind/fleet_messages.h
@@ -85,8 +85,8 @@
   /// Rank of the class; 0 is the most important.
   std::int32_t priority = 0;
   bool idempotent = false;
-  /// True when this is not the first sending of the request.
-  bool repeated = false;
+  /// Probability that the calls of this run are repeats.
+  double repeated = 0;
   duration time_left;
   /// Longest useful wait in the queue of the server node.
   duration longest_wait;
@@ -129,8 +129,8 @@
 struct member_hello {
   member_id id;
   vm_address address;
-  /// True when it is a member that votes.
-  bool voter = false;
+  /// Passed on to the leader by a member that does not lead.
+  bool forwarded = false;
 };
 
 struct link_ping {
@@ -176,7 +176,7 @@
 }
 template <class Inspector>
 auto inspect(Inspector& f, member_hello& x) {
-  return f(x.id, x.address, x.voter);
+  return f(x.id, x.address, x.forwarded);
 }
 template <class Inspector>
 auto inspect(Inspector& f, link_ping& x) {
--- a/include/figwind/route_calls.h
+++ b/include/figwind/route_calls.h
@@ -31,7 +31,7 @@
   failure_domain domain;
   repeat_options repeats;
   /// Server nodes that are asked when the ones before refuse.
-  int most_refusals = 4;
+  int most_refusals = 6;
 };
 
 /// A request of a caller, as far as the decisions need it.
@@ -39,6 +39,12 @@
   request_id id;
   /// Time that the caller will wait.
   duration time_left;
+  /// Probability that the run which makes this request is itself a repeat; 0
+  /// for requests of callers.
+  double repeated = 0;
+  /// True for a call of the backend server beside the node. Its caller has
+  /// already worked, so it is not subject to the admission of classes.
+  bool internal = false;
 };
 
 /// Send the request to a server node.
@@ -49,7 +55,8 @@
   server_name server;
   duration time_left;
   duration longest_wait;
-  bool repeated = false;
+  /// Probability that this sending makes the calls of its run once more.
+  double repeated = 0;
 };
 
 /// Nobody waits for the call at `node` any more.
@@ -133,6 +140,8 @@
     /// Server nodes that may have run it.
     int attempts = 0;
     int refusals = 0;
+    /// The last refusal came from the backend server itself.
+    bool server_refused = false;
     std::vector<node_id> excluded;
     attempt_ticket ticket = 0;
     vm_address node;
--- a/src/adapters/fleet_node.cc
+++ b/src/adapters/fleet_node.cc
@@ -157,12 +157,22 @@
   return server ? server->service.value : std::string{};
 }
 
+auto fleet_node::repeated_share() const -> double {
+  auto sum = 0.0;
+  for (const auto& [which, x] : held_) sum += x.request.repeated;
+  return held_.empty() ? 0 : sum / static_cast<double>(held_.size());
+}
+
 // Entry node.
 
 void fleet_node::on_call(http_request request,
                          std::shared_ptr<http_exchange> exchange) {
   const auto now = steady_now();
-  if (!routes_) {
+  // Callers were told in time to go elsewhere; what comes later might not be
+  // finished within the grace.
+  const auto closed = stopping_since_ && now - *stopping_since_ > notice_time &&
+                      !request.from_own_vm;
+  if (!routes_ || closed) {
     exchange->answer({status_unavailable, {retry_after(unready_pause)}, {}});
     return;
   }
@@ -179,6 +189,8 @@
   }
   const auto time_left = parse_number(request.header(headers_.time_left));
   auto asked = route_request{};
+  asked.internal = request.from_own_vm;
+  asked.repeated = asked.internal ? repeated_share() : 0;
   asked.time_left = time_left ? milliseconds(*time_left) : to->timeout;
   call.request = std::move(request);
   call.exchange = std::move(exchange);
--- a/src/adapters/fleet_node.h
+++ b/src/adapters/fleet_node.h
@@ -122,6 +122,8 @@
   void check_stop();
   [[nodiscard]] auto is_self(const vm_address& node) const -> bool;
   [[nodiscard]] auto caller_service() const -> std::string;
+  /// Share of the calls at the own backend server that are repeats.
+  [[nodiscard]] auto repeated_share() const -> double;
 
   event_loop& loop_;
   fleet_settings settings_;
--- a/src/decisions/class_throttle.cc
+++ b/src/decisions/class_throttle.cc
@@ -40,11 +40,18 @@
   return is_recent(x, now) && x.useful < options_.failing_below;
 }
 
+auto class_throttle::least_of(const state& x) const -> double {
+  for (const auto& [name, other] : classes_) {
+    if (other.priority < x.priority) return options_.least;
+  }
+  return options_.least_of_first;
+}
+
 auto class_throttle::reduced_rank(time_point now) const
     -> std::optional<int> {
   auto rank = std::optional<int>{};
   for (const auto& [name, x] : classes_) {
-    if (!is_failing(x, now) || x.admitted <= options_.least) continue;
+    if (!is_failing(x, now) || x.admitted <= least_of(x)) continue;
     rank = std::max(rank.value_or(x.priority), x.priority);
   }
   return rank;
@@ -56,7 +63,7 @@
   const auto reduced = reduced_rank(now);
   for (auto& [name, x] : classes_) {
     if (reduced && x.priority == *reduced && is_failing(x, now)) {
-      x.admitted = std::max(x.admitted * options_.decrease, options_.least);
+      x.admitted = std::max(x.admitted * options_.decrease, least_of(x));
       continue;
     }
     // While a more important class fails, nothing below it grows.
--- a/src/decisions/fleet_member.cc
+++ b/src/decisions/fleet_member.cc
@@ -90,7 +90,7 @@
 void fleet_member::add(member_output& out, consensus_output from) {
   if (from.persist) out.persist.push_back(std::move(*from.persist));
   for (auto& x : from.send) {
-    auto to = x.address.value.empty() ? consensus_.address_of(x.to) : x.address;
+    auto to = x.address.value.empty() ? address_of(x.to) : x.address;
     if (!to.value.empty()) out.messages.push_back({to, std::move(x.message)});
   }
   if (from.restore) {
@@ -102,6 +102,14 @@
   for (const auto& news : from.news) out.news.push_back(news);
 }
 
+auto fleet_member::address_of(member_id id) const -> vm_address {
+  auto known = consensus_.address_of(id);
+  if (!known.value.empty()) return known;
+  // A new member holds no membership before it has answered its leader.
+  const auto found = candidates_.find(id);
+  return found == candidates_.end() ? vm_address{} : found->second.address;
+}
+
 void fleet_member::apply(const log_entry& entry, member_output& out) {
   // An empty command is a barrier of a read.
   if (entry.kind != entry_kind::command || entry.bytes.empty()) return;
@@ -212,7 +220,7 @@
 
 auto fleet_member::leader_address() const -> vm_address {
   auto leader = consensus_.leader();
-  return leader.value == 0 ? vm_address{} : consensus_.address_of(leader);
+  return leader.value == 0 ? vm_address{} : address_of(leader);
 }
 
 auto fleet_member::peers() const -> std::vector<vm_address> {
@@ -227,9 +235,8 @@
 void fleet_member::say_hello(time_point now, member_output& out) {
   if (now < next_hello_) return;
   next_hello_ = now + options_.hello_period;
-  auto voter = consensus_.standing() == member_standing::voter;
   auto hello = member_hello{options_.consensus.self, options_.consensus.address,
-                            voter};
+                            false};
   for (auto& to : peers()) out.messages.push_back({to, hello});
 }
 
@@ -253,6 +260,8 @@
   for (const auto& [id, x] : candidates_) {
     if (find_member(all, id) != nullptr) continue;
     auto silent = silent_voter(now, options_.replace_after);
+    const auto doubtful = silent_voter(now, options_.doubtful_after);
+    if (silent.value == 0 && doubtful.value != 0) return;
     if (silent.value == 0 && voters >= most_voters) continue;
     auto added = consensus_.add_member(id, x.address, silent);
     if (added.status == proposal_status::pending) {
@@ -283,7 +292,8 @@
   }
   if (leads()) return true;
   return consensus_.leader().value != 0 &&
-         now - consensus_.leader_since() > options_.current_after;
+         now - consensus_.leader_since() > options_.current_after &&
+         now - consensus_.leader_heard() < options_.leader_silence;
 }
 
 auto fleet_member::make_update(known_node& node, time_point now)
@@ -353,12 +363,17 @@
 }
 
 void fleet_member::handle(const member_hello& m, time_point now,
-                          member_output& /*out*/) {
+                          member_output& out) {
   if (m.id == options_.consensus.self) return;
   if (candidates_.count(m.id) == 0 && candidates_.size() >= most_candidates) {
     return;
   }
   candidates_[m.id] = {m.address, now};
+  // The seeds of a new process may name no member that leads now.
+  const auto leader = leader_address();
+  const auto is_member = find_member(consensus_.members(), m.id) != nullptr;
+  if (m.forwarded || is_member || leads() || leader.value.empty()) return;
+  out.messages.push_back({leader, member_hello{m.id, m.address, true}});
 }
 
 void fleet_member::handle(const consensus_message& m, time_point now,
--- a/src/decisions/route_calls.cc
+++ b/src/decisions/route_calls.cc
@@ -50,7 +50,7 @@
   x.most_attempts = to.attempts;
   x.deadline = now + std::min(request.time_left, to.timeout);
   deadlines_.emplace(std::pair{x.deadline.ms, number}, 0);
-  if (!throttle_.admits(to.name, random_.unit())) {
+  if (!request.internal && !throttle_.admits(to.name, random_.unit())) {
     return finish(number, route_end::not_run, refusal::overload);
   }
   const auto* part = choose_part(to, random_.unit());
@@ -58,14 +58,20 @@
     return finish(number, route_end::not_run, refusal::no_server);
   }
   x.service = part->service;
-  budget_of(x.service).count_request(now);
+  budget_of(x.service).count_request(request.repeated, now);
   return send(number, x, false, now);
 }
 
 auto route_calls::send(std::uint64_t number, active_call& x, bool repeated,
                        time_point now) -> call_steps {
-  const auto chosen = balancer_.choose(x.service, x.excluded, now, random_,
-                                       !repeated && x.refusals == 0);
+  const auto may_probe = !repeated && x.refusals == 0;
+  auto chosen =
+      balancer_.choose(x.service, x.excluded, now, random_, may_probe);
+  if (chosen.target == nullptr && x.attempts == 0 && x.server_refused) {
+    // A server that refused one request may run the next.
+    x.excluded.clear();
+    chosen = balancer_.choose(x.service, x.excluded, now, random_, may_probe);
+  }
   if (chosen.target == nullptr) {
     // Only a request that was never sent may be called "not run".
     const auto end =
@@ -85,7 +91,7 @@
                        names_[target.id],
                        x.deadline - now,
                        wait,
-                       repeated};
+                       repeated ? 1 : x.request.repeated};
   return out;
 }
 
@@ -128,6 +134,7 @@
   }
   --x.attempts;
   ++x.refusals;
+  x.server_refused = answer.reached_server;
   const auto spent = !may_resend_refused(x, answer.reached_server, now);
   if (spent || answer.reason == refusal::deadline) {
     const auto end = x.attempts == 0 ? route_end::not_run : route_end::failed;
--- /dev/null
+++ b/test/fleet-cluster.h
@@ -0,0 +1,222 @@
+// Control members of a fleet in memory, with disks and links that fail.
+
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fake-files.h"
+#include "figwind/fleet_member.h"
+
+namespace figwind::test {
+
+class fleet_cluster {
+ public:
+  using member_storage = storage<fake_files>;
+
+  explicit fleet_cluster(std::uint64_t seed) : random_{seed} {}
+
+  static auto address(int number) -> vm_address {
+    return {"10.0.0." + std::to_string(number) + ":7000"};
+  }
+
+  /// Starts the member with what its disk holds.
+  void start(int number, bool first_start) {
+    auto& x = members_[number];
+    if (!x.files) x.files = std::make_unique<fake_files>();
+    x.disk = std::make_unique<member_storage>(*x.files);
+    auto opened = x.disk->open();
+    auto state = value(std::move(opened));
+    const auto is_empty =
+        !state.snapshot && state.state.generation.value == 0;
+    if (is_empty && !first_start) state.state.joins_only = true;
+    x.core = std::make_unique<fleet_member>(options(number), state, now_);
+    x.core->set_seeds(seeds());
+  }
+
+  /// Kills the process; its disk stays.
+  void kill(int number) { members_.at(number).core.reset(); }
+
+  void lose_disk(int number) {
+    kill(number);
+    members_.at(number).files.reset();
+  }
+
+  void remove(int number) { members_.erase(number); }
+
+  void cut(int a, int b) {
+    cuts_.insert({a, b});
+    cuts_.insert({b, a});
+  }
+  void heal() { cuts_.clear(); }
+
+  void run(duration time) {
+    const auto end = now_ + time;
+    while (now_ < end) step();
+  }
+
+  /// Runs until `done` holds; false when it does not within `limit`.
+  auto run_until(const std::function<bool()>& done,
+                 duration limit = seconds(10)) -> bool {
+    const auto end = now_ + limit;
+    while (now_ < end && !done()) step();
+    return done();
+  }
+
+  auto leader() -> int {
+    for (auto& [number, x] : members_) {
+      if (x.core && x.core->leads()) return number;
+    }
+    return 0;
+  }
+
+  auto voters() -> std::size_t {
+    const auto first = leader();
+    if (first == 0) return 0;
+    return voter_count(members_.at(first).core->agreement().members());
+  }
+
+  auto core(int number) -> fleet_member& { return *members_.at(number).core; }
+
+  auto change(int number, std::uint64_t base, std::uint64_t label,
+              const std::string& text) -> member_ticket {
+    auto out = member_output{};
+    const auto id = request_id{base, std::hash<std::string>{}(text) ^ label};
+    const auto ticket =
+        core(number).change({id, {base}, {{label}, text}}, out);
+    carry_out(number, std::move(out));
+    return ticket;
+  }
+
+  auto read(int number) -> member_ticket {
+    auto out = member_output{};
+    const auto ticket = core(number).read(out);
+    carry_out(number, std::move(out));
+    return ticket;
+  }
+
+  /// The reply of a change at the leader, once there is one.
+  auto settle(int number, member_ticket ticket) -> desired_reply {
+    const auto key = std::pair{number, ticket};
+    run_until([&] { return replies_.count(key) != 0; });
+    const auto found = replies_.find(key);
+    return found == replies_.end() ? desired_reply{} : found->second;
+  }
+
+  /// Accepts a change at whichever member leads.
+  auto accept(std::uint64_t base, std::uint64_t label, const std::string& text)
+      -> desired_status {
+    if (!run_until([this] { return leader() != 0; })) {
+      return desired_status::unknown;
+    }
+    const auto at = leader();
+    return settle(at, change(at, base, label, text)).status;
+  }
+
+  auto newest() -> desired_reply {
+    if (!run_until([this] { return leader() != 0; })) return {};
+    const auto at = leader();
+    return settle(at, read(at));
+  }
+
+  /// Tells a member what a node would tell it; gives the answers to the node.
+  void status(int number, const node_status& x) {
+    carry_out(number, core(number).on_message(x, now_));
+  }
+  auto updates() -> std::vector<member_update> {
+    return std::exchange(updates_, {});
+  }
+
+  auto now() const -> time_point { return now_; }
+
+ private:
+  struct member_state {
+    std::unique_ptr<fake_files> files;
+    std::unique_ptr<member_storage> disk;
+    std::unique_ptr<fleet_member> core;
+  };
+  struct flying {
+    int from = 0;
+    int to = 0;
+    fleet_message message;
+  };
+
+  static auto seeds() -> std::vector<vm_address> {
+    return {address(1), address(2), address(3)};
+  }
+
+  static auto id(int number) -> member_id {
+    return {static_cast<std::uint64_t>(number)};
+  }
+
+  auto options(int number) -> fleet_member_options {
+    auto out = fleet_member_options{};
+    out.consensus.self = id(number);
+    out.consensus.address = address(number);
+    for (auto i = 1; i <= 3; ++i) {
+      out.consensus.first_members.push_back(
+          {id(i), address(i), {}, true, {}});
+    }
+    out.seed = random_.bits();
+    return out;
+  }
+
+  void step() {
+    constexpr auto tick = milliseconds(10);
+    now_ = now_ + tick;
+    for (auto at = flying_.begin();
+         at != flying_.end() && at->first <= now_.ms;) {
+      auto x = std::move(at->second);
+      at = flying_.erase(at);
+      const auto to = members_.find(x.to);
+      const auto lost = cuts_.count({x.from, x.to}) != 0;
+      if (lost || to == members_.end() || !to->second.core) continue;
+      carry_out(x.to, to->second.core->on_message(x.message, now_));
+    }
+    for (auto& [number, x] : members_) {
+      if (x.core) carry_out(number, x.core->tick(now_));
+    }
+  }
+
+  void carry_out(int number, member_output out) {
+    auto& x = members_.at(number);
+    for (auto& m : out.messages) send(number, std::move(m));
+    for (auto& reply : out.replies) {
+      replies_[{number, reply.ticket}] = reply;
+    }
+    for (const auto& batch : out.persist) {
+      x.disk->write(batch);
+      carry_out(number, x.core->persisted(batch.number));
+    }
+  }
+
+  void send(int from, outgoing<fleet_message> m) {
+    if (auto* update = std::get_if<member_update>(&m.message)) {
+      updates_.push_back(std::move(*update));
+      return;
+    }
+    const auto delay = 1 + random_.unit() * 9;
+    for (const auto& [number, x] : members_) {
+      if (address(number) == m.to) {
+        flying_.emplace(now_.ms + delay,
+                        flying{from, number, std::move(m.message)});
+        return;
+      }
+    }
+  }
+
+  random_source random_;
+  time_point now_{1000};
+  std::map<int, member_state> members_;
+  std::multimap<double, flying> flying_;
+  std::set<std::pair<int, int>> cuts_;
+  std::map<std::pair<int, member_ticket>, desired_reply> replies_;
+  std::vector<member_update> updates_;
+};
+
+}  // namespace figwind::test
--- /dev/null
+++ b/test/route-calls-test.cc
@@ -0,0 +1,158 @@
+#include "figwind/route_calls.h"
+
+#include <gtest/gtest.h>
+
+#include "section.h"
+
+using namespace figwind;
+using figwind::test::section;
+
+namespace {
+
+const auto service = service_name{"contracte"};
+
+auto sample_route(repeat_rule repeat) -> route {
+  auto out = route{};
+  out.name = {"loans"};
+  out.repeat = repeat;
+  out.timeout = milliseconds(800);
+  out.target_latency = milliseconds(400);
+  out.attempts = 2;
+  out.parts = {{service, 1}};
+  return out;
+}
+
+auto sample_calls(int servers) -> route_calls {
+  auto options = route_call_options{};
+  options.domain = {"a"};
+  auto out = route_calls{options, random_source{1}};
+  auto all = std::vector<server>{};
+  for (auto i = 1; i <= servers; ++i) {
+    auto x = server{};
+    x.call_address = {"10.0.0." + std::to_string(i) + ":7000"};
+    x.id = {x.call_address, {1}};
+    x.domain = {"a"};
+    x.slots = 10;
+    out.set_server_name(x.id, {"s" + std::to_string(i)});
+    all.push_back(x);
+  }
+  out.set_servers(service, all);
+  return out;
+}
+
+auto answer(std::uint64_t call, call_end end,
+            refusal reason = refusal::none) -> call_answer {
+  auto out = call_answer{};
+  out.call = call;
+  out.end = end;
+  out.reason = reason;
+  out.status = 200;
+  return out;
+}
+
+auto begin(route_calls& calls, repeat_rule repeat, time_point now = {0})
+    -> send_step {
+  auto steps = calls.start(sample_route(repeat), {{}, seconds(5)}, now);
+  EXPECT_TRUE(steps.send.has_value());
+  return *steps.send;
+}
+
+}  // namespace
+
+// Guards against loans that run twice: a lost link leaves open whether the
+// request has run.
+TEST(route_calls, sends_what_may_have_run_again_only_if_idempotent) {
+  section("at most once: it fails", [] {
+    auto calls = sample_calls(2);
+    const auto sent = begin(calls, repeat_rule::at_most_once);
+    const auto steps = calls.on_link_lost(sent.call, true, {10});
+    EXPECT_FALSE(steps.send);
+    ASSERT_TRUE(steps.end);
+    EXPECT_EQ(steps.end->end, route_end::failed);
+  });
+  section("idempotent: another server, marked as a repeat", [] {
+    auto calls = sample_calls(2);
+    const auto sent = begin(calls, repeat_rule::idempotent);
+    const auto steps = calls.on_link_lost(sent.call, true, {10});
+    ASSERT_TRUE(steps.send);
+    EXPECT_NE(steps.send->node, sent.node);
+    EXPECT_EQ(steps.send->repeated, 1);
+  });
+  section("at most once, and no byte was sent: another server", [] {
+    auto calls = sample_calls(2);
+    const auto sent = begin(calls, repeat_rule::at_most_once);
+    const auto steps = calls.on_link_lost(sent.call, false, {10});
+    ASSERT_TRUE(steps.send);
+    EXPECT_NE(steps.send->node, sent.node);
+  });
+}
+
+// Guards against a false "not run": once a server may have run a request, a
+// later refusal by another one must not promise that.
+TEST(route_calls, promises_not_run_only_when_nothing_ran) {
+  section("all servers refuse", [] {
+    auto calls = sample_calls(2);
+    const auto sent = begin(calls, repeat_rule::at_most_once);
+    auto steps = calls.on_answer(
+        answer(sent.call, call_end::not_run, refusal::overload), {1});
+    ASSERT_TRUE(steps.send);
+    steps = calls.on_answer(
+        answer(sent.call, call_end::not_run, refusal::overload), {2});
+    ASSERT_TRUE(steps.end);
+    EXPECT_EQ(steps.end->end, route_end::not_run);
+    EXPECT_GT(steps.end->retry_after.ms, 0);
+  });
+  section("one server refuses a part of its requests: it may run the next",
+          [] {
+            auto calls = sample_calls(1);
+            const auto sent = begin(calls, repeat_rule::at_most_once);
+            auto refused =
+                answer(sent.call, call_end::not_run, refusal::overload);
+            refused.reached_server = true;
+            const auto steps = calls.on_answer(refused, {1});
+            ASSERT_TRUE(steps.send);
+            EXPECT_EQ(steps.send->node, sent.node);
+          });
+  section("one breaks off, then the other refuses", [] {
+    auto calls = sample_calls(2);
+    const auto sent = begin(calls, repeat_rule::idempotent);
+    auto steps = calls.on_answer(answer(sent.call, call_end::broken), {1});
+    ASSERT_TRUE(steps.send);
+    steps = calls.on_answer(
+        answer(sent.call, call_end::not_run, refusal::overload), {2});
+    ASSERT_TRUE(steps.end);
+    EXPECT_EQ(steps.end->end, route_end::failed);
+  });
+  section("there is no server", [] {
+    auto calls = sample_calls(0);
+    const auto steps =
+        calls.start(sample_route(repeat_rule::idempotent), {}, {0});
+    ASSERT_TRUE(steps.end);
+    EXPECT_EQ(steps.end->end, route_end::not_run);
+    EXPECT_EQ(steps.end->reason, refusal::no_server);
+  });
+}
+
+// Guards against callers that are kept waiting beyond the route's time.
+TEST(route_calls, ends_at_the_time_of_the_route) {
+  auto calls = sample_calls(1);
+  const auto sent = begin(calls, repeat_rule::idempotent);
+  EXPECT_EQ(sent.time_left, milliseconds(800));
+  EXPECT_TRUE(calls.on_time({799}).empty());
+  const auto steps = calls.on_time({800});
+  ASSERT_EQ(steps.size(), 1U);
+  EXPECT_EQ(steps[0].end->end, route_end::timed_out);
+  ASSERT_EQ(steps[0].cancel.size(), 1U);
+  EXPECT_EQ(steps[0].cancel[0].node, sent.node);
+  EXPECT_EQ(calls.active(), 0U);
+}
+
+// Guards against work for callers that have left.
+TEST(route_calls, cancels_when_the_caller_leaves) {
+  auto calls = sample_calls(1);
+  const auto sent = begin(calls, repeat_rule::idempotent);
+  const auto steps = calls.on_caller_gone(sent.call, {5});
+  ASSERT_EQ(steps.cancel.size(), 1U);
+  EXPECT_EQ(steps.cancel[0].call, sent.call);
+  EXPECT_FALSE(calls.on_answer(answer(sent.call, call_end::answered), {6}).end);
+}
--- /dev/null
+++ b/test/server-gate-test.cc
@@ -0,0 +1,123 @@
+#include "figwind/server_gate.h"
+
+#include <gtest/gtest.h>
+
+#include "section.h"
+
+using namespace figwind;
+using figwind::test::section;
+
+namespace {
+
+auto server(announced_state state = announced_state::serving,
+            std::uint32_t slots = 10) -> announcement {
+  auto out = announcement{};
+  out.server = {"s1"};
+  out.service = {"contracte"};
+  out.slots = slots;
+  out.state = state;
+  out.born_ms = 1;
+  return out;
+}
+
+auto call(int priority = 1, const std::string& name = "loans")
+    -> call_request {
+  auto out = call_request{};
+  out.name = {name};
+  out.service = {"contracte"};
+  out.priority = priority;
+  out.time_left = seconds(2);
+  out.longest_wait = milliseconds(150);
+  return out;
+}
+
+}  // namespace
+
+// Guards against new work for a server that is returned, and against work for a
+// service whose server has gone from the address.
+TEST(server_gate, refuses_what_its_server_must_not_run) {
+  struct example {
+    std::string name;
+    std::optional<announcement> server;
+    refusal reason;
+  };
+  auto other = server();
+  other.service = {"depozit"};
+  const auto examples = std::vector<example>{
+      {"not announced yet", std::nullopt, refusal::no_server},
+      {"drains", server(announced_state::draining), refusal::draining},
+      {"left", server(announced_state::left), refusal::draining},
+      {"of another service", other, refusal::no_server},
+  };
+  for (const auto& x : examples) {
+    section(x.name, [&] {
+      auto gate = server_gate{};
+      gate.set_server(x.server, {0});
+      const auto steps = gate.arrive({1, 1}, call(), {0});
+      ASSERT_EQ(steps.refuse.size(), 1U);
+      EXPECT_EQ(steps.refuse[0].reason, x.reason);
+      EXPECT_TRUE(steps.start.empty());
+    });
+  }
+}
+
+// Guards against a long class that is kept from idle slots: lookups of 400 ms
+// beside internal ones of 30 ms, at a third of the load.
+TEST(server_gate, lets_a_long_class_use_idle_slots) {
+  auto gate = server_gate{};
+  gate.set_server(server(announced_state::serving, 25), {0});
+  auto number = std::uint64_t{0};
+  auto running = std::map<double, gate_call>{};
+  auto refused = 0;
+  for (auto now = 0.0; now < 10'000; now += 5) {
+    while (!running.empty() && running.begin()->first <= now) {
+      gate.finish(running.begin()->second, true, {now});
+      running.erase(running.begin());
+    }
+    const auto is_long = static_cast<int>(now) % 100 == 0;
+    const auto which = gate_call{1, ++number};
+    const auto steps = gate.arrive(
+        which, is_long ? call(2, "file") : call(1, "internal"), {now});
+    refused += static_cast<int>(steps.refuse.size());
+    for (const auto& x : steps.start) {
+      running.emplace(now + (is_long ? 400 : 30) + number * 1e-6, x);
+    }
+  }
+  EXPECT_EQ(refused, 0);
+}
+
+// Guards against less important work that runs while more important work waits.
+TEST(server_gate, starts_the_most_important_first) {
+  auto gate = server_gate{};
+  gate.set_server(server(announced_state::serving, 1), {0});
+  gate.arrive({1, 1}, call(1), {0});
+  gate.arrive({1, 2}, call(2), {1});
+  gate.arrive({1, 3}, call(0), {2});
+  const auto steps = gate.finish({1, 1}, true, {3});
+  ASSERT_EQ(steps.start.size(), 1U);
+  EXPECT_EQ(steps.start[0].call, 3U);
+}
+
+// Guards against callers that wait for a server which has no room in time.
+TEST(server_gate, refuses_what_waits_too_long) {
+  auto gate = server_gate{};
+  gate.set_server(server(announced_state::serving, 1), {0});
+  gate.arrive({1, 1}, call(), {0});
+  gate.arrive({1, 2}, call(), {0});
+  EXPECT_TRUE(gate.tick({100}).refuse.empty());
+  const auto steps = gate.tick({160});
+  ASSERT_EQ(steps.refuse.size(), 1U);
+  EXPECT_EQ(steps.refuse[0].call.call, 2U);
+}
+
+// Guards against work for callers that have left.
+TEST(server_gate, cancels_queued_and_running_calls) {
+  auto gate = server_gate{};
+  gate.set_server(server(announced_state::serving, 1), {0});
+  gate.arrive({1, 1}, call(), {0});
+  gate.arrive({1, 2}, call(), {0});
+  EXPECT_TRUE(gate.cancel({1, 2}, {1}).abandon.empty());
+  EXPECT_EQ(gate.queued(), 0);
+  EXPECT_EQ(gate.cancel({1, 1}, {2}).abandon.size(), 1U);
+  EXPECT_EQ(gate.in_flight(), 1);
+}
