Let stopping nodes keep their server's work, and restarted ones resume it

Cause: a node that was told to stop refused the work of its backend server at once, and after its restart waited for the server's next announcement: the server stood idle for up to 8 s of a rolling restart. Change: the server's work goes on until the callers are done, 3.2 s at most; a restarted node uses what the control members know of its server; the target id guards against another server at the address.

--- a/src/adapters/fleet_node.cc
+++ b/src/adapters/fleet_node.cc
@@ -26,6 +26,9 @@
 // Callers notice within this time that the node takes no new work: two checks,
 // one second apart.
 constexpr auto notice_time = milliseconds(2300);
+// The backend server beside a stopping node keeps its work this long; then what
+// runs there is finished within the grace.
+constexpr auto longest_serving = milliseconds(3200);
 // Time before the end of the grace at which the process ends in any case.
 constexpr auto grace_margin = milliseconds(400);
 // The answer of a backend server may come this much after its deadline.
@@ -542,7 +545,7 @@
     return;
   }
   const auto& server = announcements_.current();
-  const auto accepts = !stopping_since_ && server &&
+  const auto accepts = !gate_closed_ && server &&
                        server->state == announced_state::serving;
   const auto number = subscriber_.report(server, accepts);
   send_statuses();
@@ -560,10 +563,13 @@
   if (effect.directory_changed) servers_due_ = true;
   if (!past_known_) {
     const auto* own = view_.find(self_);
-    if (own != nullptr && own->report.node.start !=
-                              subscriber_.incarnation_number()) {
-      announcements_.take(own->report.server, now);
-    }
+    const auto is_past = own != nullptr && own->report.node.start !=
+                                               subscriber_.incarnation_number();
+    // Another VM may have had this address before.
+    const auto same_service =
+        is_past && (settings_.service.value.empty() ||
+                    own->report.server.service == settings_.service);
+    if (same_service) announcements_.take(own->report.server, now);
   }
   if (effect.config) {
     auto config = reader_(*effect.config);
@@ -638,16 +644,20 @@
   stopped_ = std::move(done);
   log_info("stopping", {{"calls", calls_.active()},
                         {"held", held_.size()}});
-  gate_.close();
   callers_.begin_close();
-  report_server({});
 }
 
 void fleet_node::check_stop() {
   const auto passed = steady_now() - *stopping_since_;
-  const auto idle = callers_.exchanges() == 0 && held_.empty();
-  const auto noticed = passed > notice_time;
-  if (!(noticed && idle) && passed < settings_.grace - grace_margin) return;
+  if (passed < notice_time) return;
+  const auto no_callers = callers_.exchanges() == 0;
+  if (!gate_closed_ && (no_callers || passed > longest_serving)) {
+    gate_closed_ = true;
+    gate_.close();
+    report_server({});
+  }
+  const auto idle = gate_closed_ && no_callers && held_.empty();
+  if (!idle && passed < settings_.grace - grace_margin) return;
   callers_.close_idle();
   if (stopped_) std::exchange(stopped_, {})();
 }
--- a/src/adapters/fleet_node.h
+++ b/src/adapters/fleet_node.h
@@ -156,6 +156,7 @@
   std::map<gate_call, held_call> held_;
   std::vector<waiting_ack> acks_;
   bool past_known_ = false;
+  bool gate_closed_ = false;
   bool servers_due_ = true;
   std::optional<time_point> stopping_since_;
   std::function<void()> stopped_;
