Explain requests in logs and metrics; avoid links that owe an answer

Cause: a request over a link that a partition had silenced waited for 0.9 s, and new ones followed it; a node that had just started asked callers back before it could know the configuration. Change: a link that owes an answer for 330 ms gets no new calls; callers of a node without configuration come back after 1.2 s; one line for each sending, refusal and end of a request, with the figures that decided; Prometheus metrics.

--- a/include/figwind/fleet_member.h
+++ b/include/figwind/fleet_member.h
@@ -1,5 +1,5 @@
-// All decisions of one control member that serves a fleet of nodes: agreement on
-// the desired state, the directory of nodes, and who else is a member.
+// All decisions of one control member that serves a fleet of nodes: agreement
+// on the desired state, the directory of nodes, and who else is a member.
 //
 // The desired state is one text that the operator labels with rising numbers.
 // Changes and reads pass through the log, so that neither an isolated leader
@@ -53,6 +53,8 @@
   unknown,
 };
 
+auto to_string(desired_status x) -> std::string;
+
 struct desired_reply {
   member_ticket ticket = 0;
   desired_status status = desired_status::unknown;
--- a/include/figwind/fleet_messages.h
+++ b/include/figwind/fleet_messages.h
@@ -17,8 +17,8 @@
 namespace figwind {
 
 /// What a node knows of its own backend server. `number` counts the changes in
-/// one life of the node; 0 says nothing yet and asks what is known of an earlier
-/// life.
+/// one life of the node; 0 says nothing yet and asks what is known of an
+/// earlier life.
 struct node_report {
   node_id node;
   std::uint64_t number = 0;
@@ -156,8 +156,8 @@
 }
 template <class Inspector>
 auto inspect(Inspector& f, member_update& x) {
-  return f(x.member, x.domain, x.current, x.version, x.config, x.members, x.report_number,
-           x.known_start, x.epoch, x.cursor, x.entries);
+  return f(x.member, x.domain, x.current, x.version, x.config, x.members,
+           x.report_number, x.known_start, x.epoch, x.cursor, x.entries);
 }
 template <class Inspector>
 auto inspect(Inspector& f, call_request& x) {
@@ -167,8 +167,8 @@
 }
 template <class Inspector>
 auto inspect(Inspector& f, call_answer& x) {
-  return f(x.call, x.end, x.reason, x.reached_server, x.useful_share,
-           x.status, x.headers, x.body);
+  return f(x.call, x.end, x.reason, x.reached_server, x.useful_share, x.status,
+           x.headers, x.body);
 }
 template <class Inspector>
 auto inspect(Inspector& f, call_cancel& x) {
--- a/include/figwind/repeat_budget.h
+++ b/include/figwind/repeat_budget.h
@@ -4,8 +4,8 @@
 // requests that it sends itself, so the shares add up to the share of all. A
 // repeat of a request that has run makes its calls to other services again, and
 // these count as repeats there, at every level of the chain. They cannot be
-// avoided any more when they arrive, so they use up the bound first, and repeats
-// after a run have a small share of their own.
+// avoided any more when they arrive, so they use up the bound first, and
+// repeats after a run have a small share of their own.
 
 #pragma once
 
@@ -39,8 +39,8 @@
  public:
   explicit repeat_budget(const repeat_options& options) : options_{options} {}
 
-  /// Counts a request. `repeated` is the probability that the run which makes it
-  /// is itself a repeat.
+  /// Counts a request. `repeated` is the probability that the run which makes
+  /// it is itself a repeat.
   void count_request(double repeated, time_point now);
   /// True when one more repeat is allowed; it then counts.
   auto take(repeat_cause cause, time_point now) -> bool;
--- a/include/figwind/route_calls.h
+++ b/include/figwind/route_calls.h
@@ -76,6 +76,8 @@
   timed_out,
 };
 
+auto to_string(route_end x) -> std::string;
+
 /// The request has ended.
 struct end_step {
   std::uint64_t call = 0;
@@ -124,6 +126,11 @@
   /// Ends calls whose time is over; call it every 10 ms or so.
   auto on_time(time_point now) -> std::vector<call_steps>;
 
+  /// Share of the requests of a class that is admitted.
+  [[nodiscard]] auto admitted(const class_name& name) const -> double {
+    return throttle_.admitted(name);
+  }
+
   [[nodiscard]] auto active() const -> std::size_t { return calls_.size(); }
 
  private:
@@ -147,8 +154,8 @@
     vm_address node;
   };
 
-  auto send(std::uint64_t number, active_call& x, bool repeated,
-            time_point now) -> call_steps;
+  auto send(std::uint64_t number, active_call& x, bool repeated, time_point now)
+      -> call_steps;
   auto send_again(std::uint64_t number, active_call& x, time_point now)
       -> call_steps;
   auto finish(std::uint64_t number, route_end end, refusal reason)
--- a/include/figwind/server_gate.h
+++ b/include/figwind/server_gate.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -24,7 +25,9 @@
   std::uint64_t peer = 0;
   std::uint64_t call = 0;
 
-  friend auto operator<=>(const gate_call&, const gate_call&) = default;
+  friend auto operator<(const gate_call& a, const gate_call& b) -> bool {
+    return std::tie(a.peer, a.call) < std::tie(b.peer, b.call);
+  }
 };
 
 struct gate_refusal {
@@ -73,7 +76,7 @@
   };
 
   [[nodiscard]] auto refusal_of(const call_request& call) const -> refusal;
-  void take(queue_actions actions, gate_steps& out);
+  void take(const queue_actions& actions, gate_steps& out);
   void start(const gate_call& which, gate_steps& out);
 
   std::optional<announcement> server_;
--- a/src/adapters/asio.cc
+++ b/src/adapters/asio.cc
@@ -20,8 +20,7 @@
   const auto colon = address.value.rfind(':');
   if (colon == std::string::npos) return std::nullopt;
   auto error = boost::system::error_code{};
-  const auto ip =
-      asio::ip::make_address(address.value.substr(0, colon), error);
+  const auto ip = asio::ip::make_address(address.value.substr(0, colon), error);
   const auto port = parse_whole(address.value.substr(colon + 1));
   if (error || !port || *port > 65535) return std::nullopt;
   return tcp::endpoint{ip, static_cast<unsigned short>(*port)};
@@ -37,8 +36,8 @@
 
 auto is_closed(tcp::socket& socket, bool& has_bytes) -> bool {
   auto byte = char{};
-  const auto got = ::recv(socket.native_handle(), &byte, 1,
-                          MSG_PEEK | MSG_DONTWAIT);
+  const auto got =
+      ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   has_bytes = got > 0;
   if (got > 0) return false;
   return got == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
--- a/src/adapters/backend_client.cc
+++ b/src/adapters/backend_client.cc
@@ -39,6 +39,20 @@
 
 }  // namespace
 
+auto to_string(backend_end x) -> std::string {
+  switch (x) {
+    case backend_end::answered:
+      return "answered";
+    case backend_end::unreachable:
+      return "unreachable";
+    case backend_end::late:
+      return "late";
+    case backend_end::broken:
+      break;
+  }
+  return "broken";
+}
+
 /// One request on its connection.
 class backend_client::attempt
     : public std::enable_shared_from_this<backend_client::attempt> {
--- a/src/adapters/backend_client.h
+++ b/src/adapters/backend_client.h
@@ -37,6 +37,8 @@
   late,
 };
 
+auto to_string(backend_end x) -> std::string;
+
 struct backend_answer {
   backend_end end = backend_end::broken;
   int status = 0;
--- a/src/adapters/codec.cc
+++ b/src/adapters/codec.cc
@@ -53,7 +53,8 @@
       [&](const auto& family) {
         head.kind = static_cast<std::uint8_t>(family.index());
         to(head);
-        std::visit([&](const auto& message) { detail::write(to, message); }, family);
+        std::visit([&](const auto& message) { detail::write(to, message); },
+                   family);
       },
       x.message);
   return bytes;
--- a/src/adapters/fleet_codec.cc
+++ b/src/adapters/fleet_codec.cc
@@ -35,9 +35,7 @@
 }
 
 auto decode_frame(std::string_view bytes) -> result<fleet_message> {
-  const auto refuse = [](const char* reason) {
-    return findings{{{}, reason}};
-  };
+  const auto refuse = [](const char* reason) { return findings{{{}, reason}}; };
   auto from = caf::binary_deserializer{nullptr, bytes.data(), bytes.size()};
   auto read_format = std::uint8_t{0};
   auto out = fleet_message{};
--- a/src/adapters/fleet_control.cc
+++ b/src/adapters/fleet_control.cc
@@ -33,14 +33,17 @@
              {[](const vm_address&, const fleet_message&) {
                 // Members answer over the links that they open themselves.
               },
-              {},
-              [](const vm_address& peer, bool) {
-                log_info("link_lost", {{"peer", peer.value}});
+              [this](const vm_address& peer) {
+                log_info("link_opened", {{"peer", peer.value}});
+                metrics_.count_link("opened");
+              },
+              [this](const vm_address& peer, bool large) {
+                log_info("link_lost", {{"peer", peer.value}, {"large", large}});
+                metrics_.count_link("lost");
               }}},
-      listener_{loop, *endpoint_of(self_),
-                [this](const std::shared_ptr<link_session>& x) {
-                  on_session(x);
-                }} {
+      listener_{
+          loop, *endpoint_of(self_),
+          [this](const std::shared_ptr<link_session>& x) { on_session(x); }} {
   open();
   ticker_ = std::make_unique<periodic<std::function<void()>>>(
       loop, tick_period, [this] { tick(); });
@@ -77,8 +80,7 @@
   auto state = value(std::move(opened));
   // An empty disk forms a cluster only when the whole system starts for the
   // first time; later it belongs to a member that lost its disk or is new.
-  const auto is_empty =
-      !state.snapshot && state.state.generation.value == 0;
+  const auto is_empty = !state.snapshot && state.state.generation.value == 0;
   if (is_empty && !settings_.first_start) state.state.joins_only = true;
   log_info("disk_opened", {{"empty", is_empty},
                            {"first_start", settings_.first_start},
@@ -120,7 +122,7 @@
   }
 }
 
-void fleet_control::carry_out(member_output out) {
+void fleet_control::carry_out(const member_output& out) {
   note_members(out);
   for (const auto& x : out.messages) send(x);
   for (const auto& x : out.replies) {
@@ -166,18 +168,32 @@
                   [] {}});
 }
 
+auto fleet_control::counted(const char* kind, reply_handler done)
+    -> reply_handler {
+  return [this, kind, done = std::move(done)](const desired_reply& x) {
+    metrics_.count_operation(kind, to_string(x.status));
+    done(x);
+  };
+}
+
+auto fleet_control::metrics_text() -> std::string {
+  metrics_.set_config_version(static_cast<double>(member_->version().value));
+  metrics_.set_leading(member_->leads());
+  return metrics_.text();
+}
+
 void fleet_control::read(reply_handler done) {
   auto out = member_output{};
   const auto ticket = member_->read(out);
-  waiting_[ticket] = std::move(done);
-  carry_out(std::move(out));
+  waiting_[ticket] = counted("read", std::move(done));
+  carry_out(out);
 }
 
 void fleet_control::change(const desired_change& change, reply_handler done) {
   auto out = member_output{};
   const auto ticket = member_->change(change, out);
-  waiting_[ticket] = std::move(done);
-  carry_out(std::move(out));
+  waiting_[ticket] = counted("change", std::move(done));
+  carry_out(out);
 }
 
 auto fleet_control::other_leader() const -> std::string {
--- a/src/adapters/fleet_control.h
+++ b/src/adapters/fleet_control.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 
 #include "adapters/asio.h"
+#include "adapters/fleet_metrics.h"
 #include "adapters/peer_link.h"
 #include "adapters/posix_files.h"
 #include "figwind/fleet_member.h"
@@ -35,13 +36,16 @@
 
   void reload(const fleet_settings& settings);
 
+  [[nodiscard]] auto metrics_text() -> std::string;
+
  private:
   void open();
   void tick();
-  void carry_out(member_output out);
+  void carry_out(const member_output& out);
   void persist(const std::vector<persist_batch>& batches);
   void send(const outgoing<fleet_message>& x);
   void on_session(const std::shared_ptr<link_session>& session);
+  auto counted(const char* kind, reply_handler done) -> reply_handler;
   void note_members(const member_output& out);
   [[nodiscard]] auto options() const -> fleet_member_options;
 
@@ -51,6 +55,7 @@
   std::unique_ptr<posix_files> files_;
   std::unique_ptr<disk_storage> storage_;
   std::unique_ptr<fleet_member> member_;
+  fleet_metrics metrics_;
   link_dialer links_;
   link_listener listener_;
   /// Connections over which nodes are answered.
--- a/src/adapters/fleet_node.cc
+++ b/src/adapters/fleet_node.cc
@@ -1,6 +1,7 @@
 #include "adapters/fleet_node.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/post.hpp>
 #include <cmath>
 #include <cstdio>
@@ -33,7 +34,9 @@
 constexpr auto grace_margin = milliseconds(400);
 // The answer of a backend server may come this much after its deadline.
 constexpr auto answer_slack = milliseconds(150);
-constexpr auto unready_pause = milliseconds(500);
+// A node that has just started knows the configuration within this time, also
+// when the control members have just started, too.
+constexpr auto unready_pause = milliseconds(1200);
 constexpr std::uint64_t own_session = 0;
 
 constexpr int status_bad_request = 400;
@@ -44,9 +47,9 @@
 constexpr int status_timeout = 504;
 
 auto retry_after(duration x) -> std::pair<std::string, std::string> {
-  char text[32];
-  std::snprintf(text, sizeof text, "%.3f", x.ms / 1000);
-  return {"Retry-After", text};
+  auto text = std::array<char, 32>{};
+  std::snprintf(text.data(), text.size(), "%.3f", x.ms / 1000);
+  return {"Retry-After", text.data()};
 }
 
 auto find_header(const header_list& all, const std::string& name)
@@ -120,17 +123,18 @@
                   on_answer(*x);
                 }
               },
-              [this](const vm_address&) {
+              [this](const vm_address& peer) {
+                log_info("link_opened", {{"peer", peer.value}});
+                metrics_.count_link("opened");
                 servers_due_ = true;
                 send_statuses();
               },
               [this](const vm_address& peer, bool large) {
                 on_link_down(peer, large);
               }}},
-      listener_{loop, *endpoint_of(self_),
-                [this](const std::shared_ptr<link_session>& x) {
-                  on_session(x);
-                }},
+      listener_{
+          loop, *endpoint_of(self_),
+          [this](const std::shared_ptr<link_session>& x) { on_session(x); }},
       callers_{loop, *endpoint_of(settings.call_address),
                [this](http_request request,
                       std::shared_ptr<http_exchange> exchange) {
@@ -181,6 +185,10 @@
   }
   const auto* to = routes_->find(request.host, request.target);
   if (to == nullptr) {
+    log_request("request_without_route",
+                {{"request", request.header(headers_.request_id)},
+                 {"host", request.host},
+                 {"config_version", subscriber_.version().value}});
     exchange->answer({status_not_found, {}, {}});
     return;
   }
@@ -205,9 +213,11 @@
   const auto number = steps.send ? steps.send->call : steps.end->call;
   auto& kept = caller_calls_[number] = std::move(call);
   // Held by the exchange, which ends before this node does.
-  kept.exchange->on_gone([this, number] {
+  kept.exchange->on_gone([this, number, id = kept.id, started = now] {
     caller_calls_.erase(number);
     sent_.erase(number);
+    log_request("caller_left", {{"request", id}});
+    metrics_.count_request("caller_left", "", steady_now() - started);
     carry_out(calls_.on_caller_gone(number, steady_now()), nullptr);
   });
   carry_out(steps, nullptr);
@@ -223,6 +233,14 @@
   const auto found = caller_calls_.find(step.call);
   if (found == caller_calls_.end()) return;
   const auto& call = found->second;
+  if (step.repeated >= 1) metrics_.count_repeat();
+  log_request("request_sent", {{"request", call.id},
+                               {"route", call.route.value},
+                               {"service", step.service.value},
+                               {"node", step.node.value},
+                               {"server", step.server.value},
+                               {"repeated", step.repeated},
+                               {"time_left_ms", step.time_left.ms}});
   auto out = call_request{};
   out.call = step.call;
   out.name = call.route;
@@ -275,19 +293,23 @@
   if (found == caller_calls_.end()) return;
   const auto call = std::move(found->second);
   caller_calls_.erase(found);
-  if (step.end == route_end::answered && answer != nullptr) {
-    call.exchange->answer(
-        {answer->status, end_to_end(answer->headers), answer->body});
-    return;
-  }
-  log_request("call_ended_without_answer",
-           {{"request", call.id},
-            {"route", call.route.value},
-            {"end", static_cast<int>(step.end)},
-            {"reason", to_string(step.reason)},
-            {"node", step.node.value},
-            {"attempts", step.attempts}});
-  call.exchange->answer(answer_of(step));
+  const auto is_answer = step.end == route_end::answered && answer != nullptr;
+  auto out = is_answer ? http_answer{answer->status,
+                                     end_to_end(answer->headers), answer->body}
+                       : answer_of(step);
+  const auto taken = steady_now() - call.started;
+  metrics_.count_request(to_string(step.end), to_string(step.reason), taken);
+  log_request("request_ended", {{"request", call.id},
+                                {"route", call.route.value},
+                                {"config_version", subscriber_.version().value},
+                                {"end", to_string(step.end)},
+                                {"reason", to_string(step.reason)},
+                                {"status", out.status},
+                                {"node", step.node.value},
+                                {"attempts", step.attempts},
+                                {"admitted_share", calls_.admitted(call.route)},
+                                {"ms", taken.ms}});
+  call.exchange->answer(std::move(out));
 }
 
 void fleet_node::on_answer(const call_answer& answer) {
@@ -301,7 +323,9 @@
   for (const auto& [number, x] : sent_) {
     if (x.node == peer && x.large == large) lost.push_back(number);
   }
-  log_info("link_lost", {{"peer", peer.value}, {"calls", lost.size()}});
+  log_info("link_lost",
+           {{"peer", peer.value}, {"large", large}, {"calls", lost.size()}});
+  metrics_.count_link("lost");
   for (const auto number : lost) {
     sent_.erase(number);
     carry_out(calls_.on_link_lost(number, true, steady_now()), nullptr);
@@ -319,8 +343,7 @@
       const auto& address = report.node.address;
       auto x = server{};
       // A new life of the backend server is another server.
-      x.id = {address,
-              {static_cast<std::uint64_t>(report.server.born_ms)}};
+      x.id = {address, {static_cast<std::uint64_t>(report.server.born_ms)}};
       x.call_address = address;
       x.domain = report.domain;
       x.slots = static_cast<int>(report.server.slots);
@@ -373,6 +396,15 @@
     auto out = call_answer{};
     out.end = call_end::not_run;
     out.reason = x.reason;
+    log_request("call_refused",
+                {{"request", request_of(found->second)},
+                 {"route", found->second.request.name.value},
+                 {"priority", found->second.request.priority},
+                 {"reason", to_string(x.reason)},
+                 {"waited_ms", (steady_now() - found->second.arrived).ms},
+                 {"running", gate_.in_flight()},
+                 {"queued", gate_.queued()}});
+    metrics_.count_run("refused", steady_now() - found->second.arrived);
     answer(x.call, std::move(out));
   }
   for (const auto& x : steps.start) start(x);
@@ -402,18 +434,23 @@
   out.body = request.body;
   out.limit = time_left + answer_slack;
   out.echo_name = headers_.request_id;
-  const auto* id = find_header(request.headers, headers_.request_id);
-  if (id != nullptr) out.echo_value = *id;
+  out.echo_value = request_of(x);
   return out;
 }
 
+auto fleet_node::request_of(const held_call& x) const -> std::string {
+  const auto* id = find_header(x.request.headers, headers_.request_id);
+  return id == nullptr ? std::string{} : *id;
+}
+
 void fleet_node::start(const gate_call& which) {
   const auto found = held_.find(which);
   if (found == held_.end()) return;
   auto& x = found->second;
+  x.started = steady_now();
   const auto left = x.request.time_left - (steady_now() - x.arrived);
-  x.backend_call = backend_.send(
-      to_backend(x, left), [this, which](backend_answer answer) {
+  x.backend_call =
+      backend_.send(to_backend(x, left), [this, which](backend_answer answer) {
         finish(which, std::move(answer));
       });
 }
@@ -430,15 +467,14 @@
                        x.status == status_misdirected;
   if (refused) {
     out.end = call_end::not_run;
-    out.reason = x.status == status_misdirected ? refusal::no_server
-                                                : refusal::overload;
+    out.reason =
+        x.status == status_misdirected ? refusal::no_server : refusal::overload;
     out.reached_server = true;
     return out;
   }
   const auto is_success = x.status >= 200 && x.status < 300;
   const auto is_signed = find_header(x.headers, headers_.signature) != nullptr;
-  const auto is_encoded =
-      find_header(x.headers, "Content-Encoding") != nullptr;
+  const auto is_encoded = find_header(x.headers, "Content-Encoding") != nullptr;
   // A success without signature is not the server's, and a status that
   // promises "not run" may be passed on only with the server's word for it.
   if ((is_success && !is_signed) || is_encoded || promises_not_run(x.status)) {
@@ -456,16 +492,18 @@
   if (found == held_.end()) return;
   auto out = judge(from);
   if (out.end != call_end::answered) {
-    const auto* id =
-        find_header(found->second.request.headers, headers_.request_id);
+    const auto& server = announcements_.current();
     log_request("backend_gave_no_answer",
-             {{"request", id == nullptr ? "" : *id},
-              {"route", found->second.request.name.value},
-              {"end", static_cast<int>(from.end)},
-              {"status", from.status},
-              {"problem", from.problem},
-              {"not_run", out.end == call_end::not_run}});
-  }
+                {{"request", request_of(found->second)},
+                 {"route", found->second.request.name.value},
+                 {"server", server ? server->server.value : ""},
+                 {"end", to_string(from.end)},
+                 {"status", from.status},
+                 {"problem", from.problem},
+                 {"not_run", out.end == call_end::not_run},
+                 {"ms", (steady_now() - found->second.started).ms}});
+  }
+  metrics_.count_run(to_string(from.end), steady_now() - found->second.started);
   const auto complete = out.end == call_end::answered && out.status < 500;
   const auto ran = out.end != call_end::not_run;
   if (ran) runs_.add(found->second.request.name, complete, steady_now());
@@ -502,7 +540,7 @@
 // Control.
 
 void fleet_node::take_announcement(const announcement& x,
-                                   std::function<void()> done) {
+                                   const std::function<void()>& done) {
   const auto effect = announcements_.take(x, steady_now());
   if (effect != announcement_effect::refreshed) {
     log_info("announcement", {{"server", x.server.value},
@@ -518,9 +556,8 @@
   }
 }
 
-void fleet_node::take_departure(const server_name& server,
-                                std::int64_t born_ms,
-                                std::function<void()> done) {
+void fleet_node::take_departure(const server_name& server, std::int64_t born_ms,
+                                const std::function<void()>& done) {
   const auto effect = announcements_.leave(server, born_ms, steady_now());
   log_info("departure", {{"server", server.value},
                          {"born_ms", born_ms},
@@ -545,8 +582,8 @@
     return;
   }
   const auto& server = announcements_.current();
-  const auto accepts = !gate_closed_ && server &&
-                       server->state == announced_state::serving;
+  const auto accepts =
+      !gate_closed_ && server && server->state == announced_state::serving;
   const auto number = subscriber_.report(server, accepts);
   send_statuses();
   if (!done) return;
@@ -623,11 +660,18 @@
 
 void fleet_node::check_links() {
   const auto now = steady_now();
-  links_.check(now);
+  if (links_.check(now)) servers_due_ = true;
   listener_.check(now);
   backend_.check(now);
 }
 
+auto fleet_node::metrics_text() -> std::string {
+  metrics_.set_config_version(static_cast<double>(subscriber_.version().value));
+  metrics_.set_in_flight(gate_.in_flight(), gate_.queued());
+  metrics_.set_ready(ready());
+  return metrics_.text();
+}
+
 void fleet_node::reload(const fleet_settings& settings) {
   settings_.seeds = settings.seeds;
   settings_.service = settings.service;
@@ -642,8 +686,7 @@
   if (stopping_since_) return;
   stopping_since_ = steady_now();
   stopped_ = std::move(done);
-  log_info("stopping", {{"calls", calls_.active()},
-                        {"held", held_.size()}});
+  log_info("stopping", {{"calls", calls_.active()}, {"held", held_.size()}});
   callers_.begin_close();
 }
 
--- a/src/adapters/fleet_node.h
+++ b/src/adapters/fleet_node.h
@@ -13,6 +13,7 @@
 
 #include "adapters/asio.h"
 #include "adapters/backend_client.h"
+#include "adapters/fleet_metrics.h"
 #include "adapters/http_server.h"
 #include "adapters/peer_link.h"
 #include "figwind/announcement.h"
@@ -51,14 +52,17 @@
 
   /// Takes what a backend server announces. `done` is called once other
   /// processes know a change that takes the server out of service.
-  void take_announcement(const announcement& x, std::function<void()> done);
+  void take_announcement(const announcement& x,
+                         const std::function<void()>& done);
   /// A backend server leaves; `born_ms` is 0 if it does not say.
   void take_departure(const server_name& server, std::int64_t born_ms,
-                      std::function<void()> done);
+                      const std::function<void()>& done);
 
   /// True while the node takes new work of callers.
   [[nodiscard]] auto ready() const -> bool;
 
+  [[nodiscard]] auto metrics_text() -> std::string;
+
   /// Takes changed settings; addresses of its own stay as they are.
   void reload(const fleet_settings& settings);
 
@@ -81,6 +85,7 @@
     call_request request;
     std::weak_ptr<link_session> from;
     time_point arrived;
+    time_point started;
     std::uint64_t backend_call = 0;
   };
   struct waiting_ack {
@@ -110,6 +115,7 @@
   void drop_session(std::uint64_t session);
   auto to_backend(const held_call& x, duration time_left) const
       -> backend_request;
+  [[nodiscard]] auto request_of(const held_call& x) const -> std::string;
   auto judge(const backend_answer& x) const -> call_answer;
 
   // Control.
@@ -138,6 +144,7 @@
   fleet_view view_;
   server_gate gate_;
   run_record runs_;
+  fleet_metrics metrics_;
   route_calls calls_;
   std::optional<route_table> routes_;
 
--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -73,11 +73,17 @@
 }
 
 auto end_to_end(const header_list& all) -> header_list {
-  static constexpr auto dropped = std::array{
-      "connection", "keep-alive",        "proxy-connection",
-      "te",         "trailer",           "transfer-encoding",
-      "upgrade",    "proxy-authenticate", "proxy-authorization",
-      "expect",     "content-length"};
+  static constexpr auto dropped = std::array{"connection",
+                                             "keep-alive",
+                                             "proxy-connection",
+                                             "te",
+                                             "trailer",
+                                             "transfer-encoding",
+                                             "upgrade",
+                                             "proxy-authenticate",
+                                             "proxy-authorization",
+                                             "expect",
+                                             "content-length"};
   const auto named = named_by_connection(all);
   auto out = header_list{};
   for (const auto& x : all) {
@@ -138,10 +144,10 @@
 
   void arm(duration limit) {
     timer_.expires_after(to_chrono(limit));
-    timer_.async_wait([self = shared_from_this(),
-                       turn = ++timer_turn_](error_code error) {
-      if (!error && turn == self->timer_turn_) self->timed_out();
-    });
+    timer_.async_wait(
+        [self = shared_from_this(), turn = ++timer_turn_](error_code error) {
+          if (!error && turn == self->timer_turn_) self->timed_out();
+        });
   }
 
   void disarm() {
@@ -221,9 +227,8 @@
   }
 
   void read_failed(const error_code& error) {
-    const auto ours = error.category() == http::make_error_code(
-                                              http::error::bad_method)
-                                              .category();
+    const auto ours = error.category() ==
+                      http::make_error_code(http::error::bad_method).category();
     const auto ended = error == http::error::end_of_stream ||
                        error == http::error::partial_message;
     if (!ours || ended) return close();
@@ -351,9 +356,7 @@
 
 http_server::http_server(event_loop& loop, const tcp::endpoint& at,
                          http_handler handler)
-    : loop_{loop},
-      acceptor_{loop, at, true},
-      state_{std::make_shared<http_server_state>()} {
+    : acceptor_{loop, at, true}, state_{std::make_shared<http_server_state>()} {
   state_->handler = std::move(handler);
   accept();
 }
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -49,7 +49,13 @@
 /// at most once.
 class http_exchange {
  public:
+  http_exchange() = default;
+  http_exchange(const http_exchange&) = delete;
+  auto operator=(const http_exchange&) -> http_exchange& = delete;
+  http_exchange(http_exchange&&) = delete;
+  auto operator=(http_exchange&&) -> http_exchange& = delete;
   virtual ~http_exchange() = default;
+
   virtual void answer(http_answer x) = 0;
   /// `handler` is called once if the caller leaves before the answer.
   virtual void on_gone(std::function<void()> handler) = 0;
@@ -97,7 +103,6 @@
 
   void accept();
 
-  event_loop& loop_;
   tcp::acceptor acceptor_;
   std::shared_ptr<http_server_state> state_;
   std::vector<std::weak_ptr<session>> sessions_;
--- a/src/adapters/log.h
+++ b/src/adapters/log.h
@@ -2,8 +2,8 @@
 
 #pragma once
 
-#include <nlohmann/json.hpp>
 #include <cstdint>
+#include <nlohmann/json.hpp>
 #include <string>
 
 namespace figwind {
@@ -16,8 +16,7 @@
 /// Sets up the log; call it once, before the first line. Of each event at most
 /// 10 lines are written in 10 s; the next one written states how many were
 /// `suppressed`.
-void open_log(const std::string& process,
-              log_stream to = log_stream::error);
+void open_log(const std::string& process, log_stream to = log_stream::error);
 
 /// Writes one line with the event's name and its fields. Event names are
 /// literals of the program, and details go into fields: the rate limit is per
--- a/src/adapters/peer_link.cc
+++ b/src/adapters/peer_link.cc
@@ -20,7 +20,11 @@
 // Beyond this a peer does not read, and what it is sent is of no use to it.
 constexpr std::size_t most_unsent = std::size_t{48} << 20U;
 
-constexpr auto probe_after = milliseconds(250);
+// A peer that owes an answer this long is asked whether it is there, and is not
+// given new calls when it still owes one a round trip and a retransmission
+// later.
+constexpr auto probe_after = milliseconds(80);
+constexpr auto suspect_after = milliseconds(330);
 constexpr auto small_patience = milliseconds(900);
 constexpr auto large_patience = milliseconds(2500);
 constexpr auto connect_limit = milliseconds(700);
@@ -131,6 +135,10 @@
   }
 }
 
+auto link_session::is_suspect(time_point now) const -> bool {
+  return owed_since_.ms != 0 && now - owed_since_ > suspect_after;
+}
+
 void link_session::close() {
   fail();
 }
@@ -203,7 +211,8 @@
 
 auto link_dialer::is_up(const vm_address& peer) const -> bool {
   const auto found = peers_.find({peer, false});
-  return found != peers_.end() && found->second.session != nullptr;
+  if (found == peers_.end()) return false;
+  return found->second.session != nullptr && !found->second.suspect;
 }
 
 auto link_dialer::send(const vm_address& to, const fleet_message& message)
@@ -215,7 +224,8 @@
   return true;
 }
 
-void link_dialer::check(time_point now) {
+auto link_dialer::check(time_point now) -> bool {
+  auto changed = false;
   // A handler may change the peers.
   auto keys = std::vector<key>{};
   for (const auto& [to, x] : peers_) keys.push_back(to);
@@ -224,6 +234,8 @@
     if (found == peers_.end()) continue;
     auto& x = found->second;
     if (x.session) {
+      const auto suspect = !to.large && x.session->is_suspect(now);
+      changed |= suspect != std::exchange(x.suspect, suspect);
       x.session->check(now, to.large ? large_patience : small_patience);
     } else if (x.connecting) {
       if (now - x.connect_since < connect_limit) continue;
@@ -234,11 +246,12 @@
       connect(to, x, now);
     }
   }
+  return changed;
 }
 
 void link_dialer::connect(const key& to, peer_state& x, time_point now) {
-  x.backoff = x.backoff.ms == 0 ? first_backoff
-                                : std::min(x.backoff * 2, last_backoff);
+  x.backoff =
+      x.backoff.ms == 0 ? first_backoff : std::min(x.backoff * 2, last_backoff);
   x.next_try = now + x.backoff;
   x.connect_since = now;
   const auto endpoint = endpoint_of(to.address);
@@ -258,13 +271,13 @@
   auto& x = peers_.at(to);
   const auto number = ++last_;
   x.session = std::make_shared<link_session>(std::move(*socket), number);
-  x.session->start(
-      {[this, to](fleet_message m) {
-         const auto found = peers_.find(to);
-         if (found != peers_.end()) found->second.backoff = {};
-         handlers_.on_message(to.address, std::move(m));
-       },
-       [this, to, number] { lost(to, number); }});
+  x.suspect = false;
+  x.session->start({[this, to](fleet_message m) {
+                      const auto found = peers_.find(to);
+                      if (found != peers_.end()) found->second.backoff = {};
+                      handlers_.on_message(to.address, std::move(m));
+                    },
+                    [this, to, number] { lost(to, number); }});
   if (!to.large && handlers_.on_up) handlers_.on_up(to.address);
 }
 
--- a/src/adapters/peer_link.h
+++ b/src/adapters/peer_link.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -36,6 +37,9 @@
   /// Probes a connection that owes an answer and ends one that stays silent.
   void check(time_point now, duration patience);
 
+  /// True while the peer owes an answer for longer than a round trip takes.
+  [[nodiscard]] auto is_suspect(time_point now) const -> bool;
+
   [[nodiscard]] auto number() const -> std::uint64_t { return number_; }
   [[nodiscard]] auto unsent_bytes() const -> std::size_t { return unsent_; }
 
@@ -103,10 +107,12 @@
   /// Which link a message of `bytes` takes.
   static auto is_large(std::size_t bytes) -> bool;
 
+  /// True when the link for small messages is open and the peer answers.
   [[nodiscard]] auto is_up(const vm_address& peer) const -> bool;
 
   /// Reopens lost links and checks silent ones; call it every 50 ms or so.
-  void check(time_point now);
+  /// True when `is_up` has changed for a peer.
+  auto check(time_point now) -> bool;
 
  private:
   struct peer_state {
@@ -116,12 +122,15 @@
     time_point next_try;
     duration backoff;
     bool wanted = true;
+    bool suspect = false;
   };
   struct key {
     vm_address address;
     bool large = false;
 
-    friend auto operator<=>(const key&, const key&) = default;
+    friend auto operator<(const key& a, const key& b) -> bool {
+      return std::tie(a.address, a.large) < std::tie(b.address, b.large);
+    }
   };
 
   void connect(const key& to, peer_state& x, time_point now);
--- a/src/decisions/announcement.cc
+++ b/src/decisions/announcement.cc
@@ -53,11 +53,10 @@
     return announcement_effect::stale;
   }
   if (!is_newer(x)) return announcement_effect::stale;
-  const auto same = current_ && current_->server == x.server &&
-                    current_->born_ms == x.born_ms &&
-                    current_->state == x.state &&
-                    current_->service == x.service &&
-                    current_->slots == x.slots;
+  const auto same =
+      current_ && current_->server == x.server &&
+      current_->born_ms == x.born_ms && current_->state == x.state &&
+      current_->service == x.service && current_->slots == x.slots;
   current_ = x;
   heard_ = now;
   return same ? announcement_effect::refreshed : announcement_effect::changed;
--- a/src/decisions/class_throttle.cc
+++ b/src/decisions/class_throttle.cc
@@ -26,8 +26,7 @@
   return found == classes_.end() ? 1 : found->second.admitted;
 }
 
-auto class_throttle::admits(const class_name& name, double unit) const
-    -> bool {
+auto class_throttle::admits(const class_name& name, double unit) const -> bool {
   return unit < admitted(name);
 }
 
@@ -35,8 +34,7 @@
   return now - x.seen < options_.memory;
 }
 
-auto class_throttle::is_failing(const state& x, time_point now) const
-    -> bool {
+auto class_throttle::is_failing(const state& x, time_point now) const -> bool {
   return is_recent(x, now) && x.useful < options_.failing_below;
 }
 
@@ -47,8 +45,7 @@
   return options_.least_of_first;
 }
 
-auto class_throttle::reduced_rank(time_point now) const
-    -> std::optional<int> {
+auto class_throttle::reduced_rank(time_point now) const -> std::optional<int> {
   auto rank = std::optional<int>{};
   for (const auto& [name, x] : classes_) {
     if (!is_failing(x, now) || x.admitted <= least_of(x)) continue;
--- a/src/decisions/fleet_directory.cc
+++ b/src/decisions/fleet_directory.cc
@@ -16,8 +16,7 @@
   auto is_old = !added && is_newer(x.shown.report, report);
   if (is_old) return false;
   x.heard = now;
-  auto changed =
-      added || x.shown.silent || is_newer(report, x.shown.report);
+  auto changed = added || x.shown.silent || is_newer(report, x.shown.report);
   if (!changed) return false;
   x.shown = {report, false};
   x.change = ++last_change_;
--- a/src/decisions/fleet_member.cc
+++ b/src/decisions/fleet_member.cc
@@ -32,6 +32,22 @@
 
 }  // namespace
 
+auto to_string(desired_status x) -> std::string {
+  switch (x) {
+    case desired_status::done:
+      return "done";
+    case desired_status::conflict:
+      return "conflict";
+    case desired_status::stale_label:
+      return "stale_label";
+    case desired_status::too_large:
+      return "too_large";
+    case desired_status::unknown:
+      break;
+  }
+  return "unknown";
+}
+
 fleet_member::fleet_member(fleet_member_options options,
                            const durable_state& from_disk, time_point now)
     : options_{std::move(options)},
@@ -168,9 +184,8 @@
     reply(x.ticket, desired_status::unknown, out);
     return;
   }
-  auto bytes = encode_change(record_change{change.id, record_name,
-                                           version_.value,
-                                           encode_desired(change.next)});
+  auto bytes = encode_change(record_change{
+      change.id, record_name, version_.value, encode_desired(change.next)});
   proposed_[change.id] = x.ticket;
   auto proposed = consensus_.propose(std::move(bytes));
   const auto status = proposed.status;
@@ -235,8 +250,8 @@
 void fleet_member::say_hello(time_point now, member_output& out) {
   if (now < next_hello_) return;
   next_hello_ = now + options_.hello_period;
-  auto hello = member_hello{options_.consensus.self, options_.consensus.address,
-                            false};
+  auto hello =
+      member_hello{options_.consensus.self, options_.consensus.address, false};
   for (auto& to : peers()) out.messages.push_back({to, hello});
 }
 
@@ -267,9 +282,8 @@
     if (added.status == proposal_status::pending) {
       out.membership_changes.push_back(
           "added " + x.address.value +
-          (silent.value == 0
-               ? std::string{}
-               : " for " + consensus_.address_of(silent).value));
+          (silent.value == 0 ? std::string{}
+                             : " for " + consensus_.address_of(silent).value));
     }
     add(out, std::move(added.output));
     return;
--- a/src/decisions/fleet_settings.cc
+++ b/src/decisions/fleet_settings.cc
@@ -13,9 +13,8 @@
 /// Reads the entries of one file and collects what is wrong with them.
 class settings_reader {
  public:
-  explicit settings_reader(const ini_file& file) : file_{file} {
-    found_ = file.broken;
-  }
+  explicit settings_reader(const ini_file& file)
+      : file_{file}, found_{file.broken} {}
 
   auto text(const char* section, const char* key, bool required)
       -> std::string {
--- a/src/decisions/fleet_subscriber.cc
+++ b/src/decisions/fleet_subscriber.cc
@@ -33,9 +33,8 @@
 
 auto fleet_subscriber::heard(time_point now) const -> std::size_t {
   return static_cast<std::size_t>(
-      std::count_if(members_.begin(), members_.end(), [&](const auto& x) {
-        return is_heard(x.second, now);
-      }));
+      std::count_if(members_.begin(), members_.end(),
+                    [&](const auto& x) { return is_heard(x.second, now); }));
 }
 
 auto fleet_subscriber::home(time_point now) const -> const member_state* {
@@ -74,8 +73,8 @@
 }
 
 void fleet_subscriber::take_members(const member_update& update) {
-  auto listed = std::set<vm_address>{update.members.begin(),
-                                     update.members.end()};
+  auto listed =
+      std::set<vm_address>{update.members.begin(), update.members.end()};
   listed.insert(update.member);
   for (const auto& address : listed) members_.try_emplace(address);
   if (!update.current) return;
@@ -138,8 +137,7 @@
   return report_.number;
 }
 
-auto fleet_subscriber::acknowledged(std::uint64_t number) const
-    -> std::size_t {
+auto fleet_subscriber::acknowledged(std::uint64_t number) const -> std::size_t {
   return static_cast<std::size_t>(
       std::count_if(members_.begin(), members_.end(), [&](const auto& x) {
         return x.second.report_start == report_.node.start &&
--- a/src/decisions/route_calls.cc
+++ b/src/decisions/route_calls.cc
@@ -20,6 +20,20 @@
 
 }  // namespace
 
+auto to_string(route_end x) -> std::string {
+  switch (x) {
+    case route_end::answered:
+      return "answered";
+    case route_end::not_run:
+      return "not_run";
+    case route_end::timed_out:
+      return "timed_out";
+    case route_end::failed:
+      break;
+  }
+  return "failed";
+}
+
 route_calls::route_calls(route_call_options options, random_source random)
     : options_{std::move(options)},
       random_{random},
@@ -74,8 +88,7 @@
   }
   if (chosen.target == nullptr) {
     // Only a request that was never sent may be called "not run".
-    const auto end =
-        x.attempts == 0 ? route_end::not_run : route_end::failed;
+    const auto end = x.attempts == 0 ? route_end::not_run : route_end::failed;
     return finish(number, end, chosen.reason);
   }
   const auto& target = *chosen.target;
@@ -143,9 +156,8 @@
   return send(answer.call, x, x.attempts > 0, now);
 }
 
-auto route_calls::may_resend_refused(const active_call& x,
-                                     bool reached_server, time_point now)
-    -> bool {
+auto route_calls::may_resend_refused(const active_call& x, bool reached_server,
+                                     time_point now) -> bool {
   if (x.refusals >= options_.most_refusals) return false;
   // A server that was reached counts an arrival, as for a repeat.
   return !reached_server ||
--- a/src/decisions/server_gate.cc
+++ b/src/decisions/server_gate.cc
@@ -42,8 +42,9 @@
 
 void server_gate::set_server(const std::optional<announcement>& server,
                              time_point now) {
-  const auto is_new = server && (!server_ || server->server != server_->server ||
-                                 server->born_ms != server_->born_ms);
+  const auto is_new =
+      server && (!server_ || server->server != server_->server ||
+                 server->born_ms != server_->born_ms);
   server_ = server;
   if (!server) return;
   if (!queue_) {
@@ -88,7 +89,7 @@
   out.start.push_back(which);
 }
 
-void server_gate::take(queue_actions actions, gate_steps& out) {
+void server_gate::take(const queue_actions& actions, gate_steps& out) {
   for (const auto& ticket : actions.start) {
     const auto found = by_ticket_.find(ticket.value);
     if (found != by_ticket_.end()) start(found->second, out);
@@ -116,8 +117,7 @@
   return out;
 }
 
-auto server_gate::cancel(const gate_call& which, time_point now)
-    -> gate_steps {
+auto server_gate::cancel(const gate_call& which, time_point now) -> gate_steps {
   auto out = gate_steps{};
   const auto found = calls_.find(which);
   if (found == calls_.end()) return out;
--- a/test/announcement-test.cc
+++ b/test/announcement-test.cc
@@ -57,9 +57,8 @@
   auto x = announcements{address};
   x.take(said("a", 100, 7), {0});
   EXPECT_EQ(x.take(said("b", 300, 1), {1}), effect::changed);
-  section("an announcement of the one before, held up by a partition", [&] {
-    EXPECT_EQ(x.take(said("a", 100, 8), {2}), effect::stale);
-  });
+  section("an announcement of the one before, held up by a partition",
+          [&] { EXPECT_EQ(x.take(said("a", 100, 8), {2}), effect::stale); });
   section("the one before leaves late", [&] {
     EXPECT_EQ(x.leave({"a"}, 0, {3}), effect::stale);
     EXPECT_EQ(x.current()->server.value, "b");
--- a/test/class-throttle-test.cc
+++ b/test/class-throttle-test.cc
@@ -37,9 +37,8 @@
     EXPECT_LT(x.admitted(history), 0.8);
     EXPECT_EQ(x.admitted(swap_log), 1);
   });
-  section("a class whose runs succeed is left alone", [&] {
-    EXPECT_EQ(x.admitted(photos), 1);
-  });
+  section("a class whose runs succeed is left alone",
+          [&] { EXPECT_EQ(x.admitted(photos), 1); });
   section("then the more important one, and never below a half", [&] {
     run(0.3, 400);
     EXPECT_LE(x.admitted(history), 0.051);
--- a/test/fleet-cluster.h
+++ b/test/fleet-cluster.h
@@ -32,8 +32,7 @@
     x.disk = std::make_unique<member_storage>(*x.files);
     auto opened = x.disk->open();
     auto state = value(std::move(opened));
-    const auto is_empty =
-        !state.snapshot && state.state.generation.value == 0;
+    const auto is_empty = !state.snapshot && state.state.generation.value == 0;
     if (is_empty && !first_start) state.state.joins_only = true;
     x.core = std::make_unique<fleet_member>(options(number), state, now_);
     x.core->set_seeds(seeds());
@@ -87,8 +86,7 @@
               const std::string& text) -> member_ticket {
     auto out = member_output{};
     const auto id = request_id{base, std::hash<std::string>{}(text) ^ label};
-    const auto ticket =
-        core(number).change({id, {base}, {{label}, text}}, out);
+    const auto ticket = core(number).change({id, {base}, {{label}, text}}, out);
     carry_out(number, std::move(out));
     return ticket;
   }
@@ -159,8 +157,7 @@
     out.consensus.self = id(number);
     out.consensus.address = address(number);
     for (auto i = 1; i <= 3; ++i) {
-      out.consensus.first_members.push_back(
-          {id(i), address(i), {}, true, {}});
+      out.consensus.first_members.push_back({id(i), address(i), {}, true, {}});
     }
     out.seed = random_.bits();
     return out;
--- a/test/fleet-member-test.cc
+++ b/test/fleet-member-test.cc
@@ -43,9 +43,8 @@
 TEST(fleet_member, accepts_one_change_on_each_version) {
   auto x = formed(2);
   ASSERT_EQ(x.accept(0, 3, "a"), desired_status::done);
-  section("the same again", [&] {
-    EXPECT_EQ(x.accept(0, 3, "a"), desired_status::done);
-  });
+  section("the same again",
+          [&] { EXPECT_EQ(x.accept(0, 3, "a"), desired_status::done); });
   section("two operators choose one number", [&] {
     const auto at = x.leader();
     const auto first = x.change(at, 3, 5, "b");
@@ -54,9 +53,8 @@
     EXPECT_EQ(x.settle(at, second).status, desired_status::conflict);
     EXPECT_EQ(x.newest().current.text, "b");
   });
-  section("a number that is not above the one in force", [&] {
-    EXPECT_EQ(x.accept(5, 4, "d"), desired_status::stale_label);
-  });
+  section("a number that is not above the one in force",
+          [&] { EXPECT_EQ(x.accept(5, 4, "d"), desired_status::stale_label); });
   section("the first one once more, though others are built on it", [&] {
     EXPECT_EQ(x.accept(0, 3, "a"), desired_status::done);
     EXPECT_EQ(x.newest().current.text, "b");
--- a/test/route-calls-test.cc
+++ b/test/route-calls-test.cc
@@ -40,8 +40,8 @@
   return out;
 }
 
-auto answer(std::uint64_t call, call_end end,
-            refusal reason = refusal::none) -> call_answer {
+auto answer(std::uint64_t call, call_end end, refusal reason = refusal::none)
+    -> call_answer {
   auto out = call_answer{};
   out.call = call;
   out.end = end;
@@ -102,17 +102,15 @@
     EXPECT_EQ(steps.end->end, route_end::not_run);
     EXPECT_GT(steps.end->retry_after.ms, 0);
   });
-  section("one server refuses a part of its requests: it may run the next",
-          [] {
-            auto calls = sample_calls(1);
-            const auto sent = begin(calls, repeat_rule::at_most_once);
-            auto refused =
-                answer(sent.call, call_end::not_run, refusal::overload);
-            refused.reached_server = true;
-            const auto steps = calls.on_answer(refused, {1});
-            ASSERT_TRUE(steps.send);
-            EXPECT_EQ(steps.send->node, sent.node);
-          });
+  section("one server refuses a part of its requests: it may run the next", [] {
+    auto calls = sample_calls(1);
+    const auto sent = begin(calls, repeat_rule::at_most_once);
+    auto refused = answer(sent.call, call_end::not_run, refusal::overload);
+    refused.reached_server = true;
+    const auto steps = calls.on_answer(refused, {1});
+    ASSERT_TRUE(steps.send);
+    EXPECT_EQ(steps.send->node, sent.node);
+  });
   section("one breaks off, then the other refuses", [] {
     auto calls = sample_calls(2);
     const auto sent = begin(calls, repeat_rule::idempotent);
--- a/test/route-test.cc
+++ b/test/route-test.cc
@@ -63,9 +63,8 @@
 
 // Guards against an invalid configuration that is put in force.
 TEST(route_config, names_everything_that_is_wrong) {
-  section("a valid one has no findings", [] {
-    EXPECT_TRUE(check(sample_config()).empty());
-  });
+  section("a valid one has no findings",
+          [] { EXPECT_TRUE(check(sample_config()).empty()); });
   section("all faults of a route are found together", [] {
     auto config = sample_config();
     auto& x = config.routes[1];
--- a/test/server-gate-test.cc
+++ b/test/server-gate-test.cc
@@ -20,8 +20,7 @@
   return out;
 }
 
-auto call(int priority = 1, const std::string& name = "loans")
-    -> call_request {
+auto call(int priority = 1, const std::string& name = "loans") -> call_request {
   auto out = call_request{};
   out.name = {name};
   out.service = {"contracte"};
