--- a/src/adapters/fleet_node.cc
+++ b/src/adapters/fleet_node.cc
@@ -291,15 +291,18 @@
                        : answer_of(step);
   const auto taken = steady_now() - call.started;
   metrics_.count_request(to_string(step.end), to_string(step.reason), taken);
-  log_request("request_ended", {{"request", call.id},
-                                {"route", call.route.value},
-                                {"config_version", subscriber_.version().value},
-                                {"end", to_string(step.end)},
-                                {"reason", to_string(step.reason)},
-                                {"status", out.status},
-                                {"node", step.node.value},
-                                {"attempts", step.attempts},
-                                {"ms", taken.ms}});
+  const auto failed = !is_answer || out.status >= status_server_error;
+  // Failures have a limit of their own, so that answers do not displace them.
+  log_request(failed ? "request_failed" : "request_answered",
+              {{"request", call.id},
+               {"route", call.route.value},
+               {"config_version", subscriber_.version().value},
+               {"end", to_string(step.end)},
+               {"reason", to_string(step.reason)},
+               {"status", out.status},
+               {"node", step.node.value},
+               {"attempts", step.attempts},
+               {"ms", taken.ms}});
   call.exchange->answer(std::move(out));
 }
 
