--- a/include/figwind/fleet_messages.h
+++ b/include/figwind/fleet_messages.h
@@ -107,7 +107,7 @@
 };
 
 /// Server node to entry node.
-struct call_answer {
+struct call_reply {
   std::uint64_t call = 0;
   call_end end = call_end::broken;
   refusal reason = refusal::none;
@@ -136,7 +136,7 @@
 };
 
 using fleet_message =
-    std::variant<node_status, member_update, call_request, call_answer,
+    std::variant<node_status, member_update, call_request, call_reply,
                  call_cancel, member_hello, link_ping, consensus_message>;
 
 template <class Inspector>
@@ -164,7 +164,7 @@
            x.headers, x.body);
 }
 template <class Inspector>
-auto inspect(Inspector& f, call_answer& x) {
+auto inspect(Inspector& f, call_reply& x) {
   return f(x.call, x.end, x.reason, x.reached_server, x.status, x.headers,
            x.body);
 }
--- a/include/figwind/route_calls.h
+++ b/include/figwind/route_calls.h
@@ -108,7 +108,7 @@
   auto start(const route& to, const route_request& request, time_point now)
       -> call_steps;
 
-  auto on_answer(const call_answer& answer, time_point now) -> call_steps;
+  auto on_answer(const call_reply& answer, time_point now) -> call_steps;
 
   /// The link to the node of a call broke. `sent` is false when no byte of the
   /// call has left, so that it cannot have run.
--- a/src/adapters/fleet_node.cc
+++ b/src/adapters/fleet_node.cc
@@ -113,7 +113,7 @@
              {[this](const vm_address&, fleet_message m) {
                 if (const auto* update = std::get_if<member_update>(&m)) {
                   on_update(*update);
-                } else if (const auto* x = std::get_if<call_answer>(&m)) {
+                } else if (const auto* x = std::get_if<call_reply>(&m)) {
                   on_answer(*x);
                 }
               },
@@ -215,7 +215,7 @@
   carry_out(steps, nullptr);
 }
 
-void fleet_node::carry_out(const call_steps& steps, const call_answer* answer) {
+void fleet_node::carry_out(const call_steps& steps, const call_reply* answer) {
   for (const auto& x : steps.cancel) cancel(x);
   if (steps.send) send(*steps.send);
   if (steps.end) end(*steps.end, answer);
@@ -279,7 +279,7 @@
   links_.send(step.node, call_cancel{step.call});
 }
 
-void fleet_node::end(const end_step& step, const call_answer* answer) {
+void fleet_node::end(const end_step& step, const call_reply* answer) {
   sent_.erase(step.call);
   const auto found = caller_calls_.find(step.call);
   if (found == caller_calls_.end()) return;
@@ -306,7 +306,7 @@
   call.exchange->answer(std::move(out));
 }
 
-void fleet_node::on_answer(const call_answer& answer) {
+void fleet_node::on_answer(const call_reply& answer) {
   sent_.erase(answer.call);
   carry_out(calls_.on_answer(answer, steady_now()), &answer);
 }
@@ -387,7 +387,7 @@
   for (const auto& x : steps.refuse) {
     const auto found = held_.find(x.call);
     if (found == held_.end()) continue;
-    auto out = call_answer{};
+    auto out = call_reply{};
     out.end = call_end::not_run;
     out.reason = x.reason;
     log_request("call_refused",
@@ -449,8 +449,8 @@
       });
 }
 
-auto fleet_node::judge(const backend_answer& x) const -> call_answer {
-  auto out = call_answer{};
+auto fleet_node::judge(const backend_answer& x) const -> call_reply {
+  auto out = call_reply{};
   if (x.end == backend_end::unreachable) {
     out.end = call_end::not_run;
     out.reason = refusal::no_server;
@@ -503,7 +503,7 @@
   carry_out(gate_.finish(which, complete, steady_now()));
 }
 
-void fleet_node::answer(const gate_call& which, call_answer x) {
+void fleet_node::answer(const gate_call& which, call_reply x) {
   const auto found = held_.find(which);
   if (found == held_.end()) return;
   const auto session = found->second.from.lock();
--- a/src/adapters/fleet_node.h
+++ b/src/adapters/fleet_node.h
@@ -96,11 +96,11 @@
 
   // Entry node.
   void on_call(http_request request, std::shared_ptr<http_exchange> exchange);
-  void carry_out(const call_steps& steps, const call_answer* answer);
+  void carry_out(const call_steps& steps, const call_reply* answer);
   void send(const send_step& step);
   void cancel(const cancel_step& step);
-  void end(const end_step& step, const call_answer* answer);
-  void on_answer(const call_answer& answer);
+  void end(const end_step& step, const call_reply* answer);
+  void on_answer(const call_reply& answer);
   void on_link_down(const vm_address& peer, bool large);
   void refresh_servers();
 
@@ -111,12 +111,12 @@
   void carry_out(const gate_steps& steps);
   void start(const gate_call& which);
   void finish(const gate_call& which, backend_answer answer);
-  void answer(const gate_call& which, call_answer x);
+  void answer(const gate_call& which, call_reply x);
   void drop_session(std::uint64_t session);
   auto to_backend(const held_call& x, duration time_left) const
       -> backend_request;
   [[nodiscard]] auto request_of(const held_call& x) const -> std::string;
-  auto judge(const backend_answer& x) const -> call_answer;
+  auto judge(const backend_answer& x) const -> call_reply;
 
   // Control.
   void on_update(const member_update& update);
--- a/src/decisions/route_calls.cc
+++ b/src/decisions/route_calls.cc
@@ -119,7 +119,7 @@
   return send(number, x, true, now);
 }
 
-auto route_calls::on_answer(const call_answer& answer, time_point now)
+auto route_calls::on_answer(const call_reply& answer, time_point now)
     -> call_steps {
   const auto found = calls_.find(answer.call);
   if (found == calls_.end()) return {};
--- a/test/route-calls-test.cc
+++ b/test/route-calls-test.cc
@@ -41,8 +41,8 @@
 }
 
 auto answer(std::uint64_t call, call_end end, refusal reason = refusal::none)
-    -> call_answer {
-  auto out = call_answer{};
+    -> call_reply {
+  auto out = call_reply{};
   out.call = call;
   out.end = end;
   out.reason = reason;
