--- a/test/adapter-fleet-test.cc
+++ b/test/adapter-fleet-test.cc
@@ -127,7 +127,11 @@
     backend = std::make_unique<scripted_server>(
         loop_, *endpoint_of(address(5, http_port_ + 3)));
   }
-  ~loopback_fleet() { std::filesystem::remove_all(folder_); }
+  ~loopback_fleet() {
+    // Its sockets must not outlive the loop.
+    backend.reset();
+    std::filesystem::remove_all(folder_);
+  }
   loopback_fleet(const loopback_fleet&) = delete;
   auto operator=(const loopback_fleet&) -> loopback_fleet& = delete;
 
