--- a/src/adapters/fleet_control.cc
+++ b/src/adapters/fleet_control.cc
@@ -94,6 +94,7 @@
 
 void fleet_control::tick() {
   const auto now = steady_now();
+  delay_log_.on_tick(now);
   if (disk_failed_) {
     if (now < disk_reopen_at_) return;
     disk_reopen_at_ = now + disk_reopen_delay;
--- a/src/adapters/fleet_control.h
+++ b/src/adapters/fleet_control.h
@@ -12,6 +12,7 @@
 
 #include "adapters/asio.h"
 #include "adapters/fleet_metrics.h"
+#include "adapters/loop_delay_log.h"
 #include "adapters/peer_link.h"
 #include "adapters/posix_files.h"
 #include "figwind/fleet_member.h"
@@ -64,6 +65,7 @@
   /// Sessions by node address, for updates to the nodes.
   std::unordered_map<vm_address, std::weak_ptr<link_session>> node_sessions_;
   std::map<member_ticket, reply_handler> pending_replies_;
+  loop_delay_log delay_log_;
   std::unique_ptr<periodic_timer<std::function<void()>>> tick_timer_;
   std::unique_ptr<periodic_timer<std::function<void()>>> link_check_timer_;
   time_point disk_reopen_at_;
--- a/src/adapters/fleet_node.cc
+++ b/src/adapters/fleet_node.cc
@@ -840,6 +840,7 @@
 
 void fleet_node::tick() {
   const auto now = steady_now();
+  delay_log_.on_tick(now);
   if (!previous_state_known_) {
     const auto enough =
         subscriber_.reachable_member_count(now) >= min_drain_holders;
--- a/src/adapters/fleet_node.h
+++ b/src/adapters/fleet_node.h
@@ -15,6 +15,7 @@
 #include "adapters/asio.h"
 #include "adapters/backend_client.h"
 #include "adapters/fleet_metrics.h"
+#include "adapters/loop_delay_log.h"
 #include "adapters/http_server.h"
 #include "adapters/peer_link.h"
 #include "figwind/announcement.h"
@@ -222,6 +223,7 @@
   std::function<void()> on_stopped_;
 
   std::function<void()> tick_action_;
+  loop_delay_log delay_log_;
   std::unique_ptr<periodic_timer<std::function<void()>>> tick_timer_;
   std::unique_ptr<periodic_timer<std::function<void()>>> link_check_timer_;
 };
