Answer changes whose leader is replaced after it has written their entry

Callers saw a valid change without an answer, and in calm each resend answered 504 "the outcome is not known yet".

Cause: a member that stops leading failed its pending requests only if one of them still waited for its barrier entry. A change whose own entry was already written stayed in proposed_changes_: its caller got no answer, and when the same member led again, each resend was taken for one in progress. If the next leader had removed the entry, that lasted until a restart.

Now a member that does not lead fails both kinds. A later commit of the entry is still found by the request id, so a resend gets the first answer.

The stand-in of the fleet returned replies of an earlier process with the same ticket after a restart, so read checks after restarts could pass on an old reply; it now drops them.

--- a/src/decisions/fleet_member.cc
+++ b/src/decisions/fleet_member.cc
@@ -67,7 +67,7 @@
   send_hellos(now, out);
   if (is_leader()) {
     adjust_membership(now, out);
-  } else if (!pending_requests_.empty()) {
+  } else {
     fail_pending_requests(out);
   }
   if (consensus_.compaction_due()) {
--- a/test/fleet-cluster.h
+++ b/test/fleet-cluster.h
@@ -28,6 +28,9 @@
   /// Starts a member with the contents of its disk.
   void start(int number, bool first_start) {
     auto& x = members_[number];
+    // A new process counts its tickets from the beginning.
+    std::erase_if(replies_,
+                  [&](const auto& r) { return r.first.first == number; });
     if (!x.files) x.files = std::make_unique<fake_files>();
     x.disk = std::make_unique<member_storage>(*x.files);
     auto opened = x.disk->open();
@@ -74,6 +77,21 @@
     return 0;
   }
 
+  /// Cuts off other leaders until member `number` leads; then all are connected.
+  auto lead(int number) -> bool {
+    for (auto tries = 0; tries < 50; ++tries) {
+      const auto other = leader();
+      if (other == number) return true;
+      for (const auto& [i, x] : members_) {
+        if (other != 0 && i != other) disconnect(other, i);
+      }
+      run_until([&] { return leader() != other && leader() != 0; });
+      heal();
+      run(seconds(1));
+    }
+    return leader() == number;
+  }
+
   auto voters() -> std::size_t {
     const auto first = leader();
     if (first == 0) return 0;
@@ -106,6 +124,10 @@
     return found == replies_.end() ? desired_reply{} : found->second;
   }
 
+  auto has_replied(int number, member_ticket ticket) const -> bool {
+    return replies_.count({number, ticket}) != 0;
+  }
+
   /// Submits a change to the leader and waits for its status.
   auto commit_change(std::uint64_t base, std::uint64_t label,
                      const std::string& text) -> desired_status {
--- a/test/fleet-member-test.cc
+++ b/test/fleet-member-test.cc
@@ -136,6 +136,36 @@
   }
 }
 
+// Guards against a change that stays without an answer for ever: its entry was
+// lost with its leader, which leads again when the change is resent.
+TEST(fleet_member, accepts_a_resent_change_whose_entry_was_lost) {
+  for (auto seed = std::uint64_t{1}; seed <= seeds_of_schedules; ++seed) {
+    section("seed " + std::to_string(seed), [&] {
+      auto x = formed(seed);
+      ASSERT_EQ(x.commit_change(0, 1, "a"), desired_status::done);
+      ASSERT_TRUE(x.run_until([&] { return x.voters() == 4; }));
+      const auto first = x.leader();
+      const auto before = x.core(first).replicated_log().last_index();
+      const auto ticket = x.change(first, 1, 2, "b");
+      // The barrier entry is replicated, the entry of the change is not.
+      ASSERT_TRUE(x.run_until([&] {
+        return x.core(first).replicated_log().last_index() > before + 1;
+      }));
+      for (auto i = 1; i <= 4; ++i) {
+        if (i != first) x.disconnect(first, i);
+      }
+      ASSERT_TRUE(x.run_until([&] { return !x.core(first).is_leader(); }));
+      EXPECT_EQ(x.await_reply(first, ticket).status, desired_status::unknown);
+      EXPECT_TRUE(x.has_replied(first, ticket));
+      ASSERT_TRUE(x.run_until([&] { return x.leader() != 0; }));
+      x.heal();
+      x.run(seconds(1));
+      ASSERT_TRUE(x.lead(first));
+      EXPECT_EQ(x.commit_change(1, 2, "b"), desired_status::done);
+    });
+  }
+}
+
 // Guards against a restarted node that accepts an old configuration from an
 // isolated member.
 TEST(fleet_member, reports_whether_its_version_is_current) {
