Validate and parse configurations beside the event loop

Callers saw a large change answered 504 by one leader after the other: each fell silent for 0.5 to 0.9 s, so that the others elected the next one, to which the change was sent again.

Cause: the leader parsed the text three times on the thread that sends its heartbeats. At 0.3 of a core this takes longer than the election timeout. Nodes parsed it between their calls.

Validation, at the leader, and parsing, at the nodes, now run on a thread of their own, one after another. A resend of an accepted change is not parsed again. Lines of nodes name the version whose routes are in force.

Tests: fleet_on_loopback.leads_while_a_change_is_validated and serves_calls_while_a_configuration_is_parsed; before, the loop could not go on while a parser waited.

--- a/include/figwind/fleet_member.h
+++ b/include/figwind/fleet_member.h
@@ -120,6 +120,10 @@
   /// Starts a read of the newest desired state. Leader only.
   auto read(member_output& out) -> member_ticket;
 
+  /// True if the change with this id was accepted, in force at this member or
+  /// earlier.
+  [[nodiscard]] auto has_accepted(const request_id& id) const -> bool;
+
   /// Further addresses of possible control members, from the settings.
   void set_seeds(std::vector<vm_address> seeds) { seeds_ = std::move(seeds); }
 
--- a/src/adapters/fleet_control.h
+++ b/src/adapters/fleet_control.h
@@ -39,6 +39,14 @@
 
   void reload(const fleet_settings& settings);
 
+  /// True if the change with this id is in force or was before.
+  [[nodiscard]] auto has_accepted(const request_id& id) const -> bool {
+    return member_->has_accepted(id);
+  }
+  [[nodiscard]] auto max_state_bytes() const -> std::size_t {
+    return settings_.max_state_bytes;
+  }
+
   [[nodiscard]] auto metrics_text() -> std::string;
 
  private:
--- a/src/adapters/fleet_node.cc
+++ b/src/adapters/fleet_node.cc
@@ -117,6 +117,7 @@
       started_at_{steady_now()},
       shutdown_policy_{settings.grace},
       announcement_tracker_{settings.backend_address},
+      config_worker_{loop},
       subscriber_{subscriber_settings(settings), link_seeds(settings),
                   steady_now()},
       calls_{route_options(settings), random_source{random_.bits()}},
@@ -230,7 +231,7 @@
     log_request("request_without_route", hash_request_id(id), [&] {
       return log_fields{{"request", id},
                         {"host", request.host},
-                        {"config_version", subscriber_.version().value}};
+                        {"config_version", version_in_force_.value}};
     });
     exchange->respond({status_not_found, {}, {}});
     return;
@@ -324,7 +325,7 @@
     return log_fields{{"request", call.request_id_text},
                       {"parent", call.parent_request_id},
                       {"route", call.route_name.value},
-                      {"config_version", subscriber_.version().value},
+                      {"config_version", version_in_force_.value},
                       {"service", action.service.value},
                       {"node", action.node.value},
                       {"server", action.server.value},
@@ -401,20 +402,20 @@
   const auto failed = !is_answer || out.status >= status_server_error;
   // Failures have a separate event and rate limit, so that answered requests
   // do not displace them in the log.
-  log_request(
-      failed ? "request_failed" : "request_answered", call.root_request, [&] {
-        return log_fields{{"request", call.request_id_text},
-                          {"parent", call.parent_request_id},
-                          {"route", call.route_name.value},
-                          {"config_version", subscriber_.version().value},
-                          {"end", to_string(action.outcome)},
-                          {"reason", to_string(action.reason)},
-                          {"status", out.status},
-                          {"node", action.node.value},
-                          {"attempts", action.attempts},
-                          {"outage_ms", action.outage.ms},
-                          {"ms", taken.ms}};
-      });
+  log_request(failed ? "request_failed" : "request_answered", call.root_request,
+              [&] {
+                return log_fields{{"request", call.request_id_text},
+                                  {"parent", call.parent_request_id},
+                                  {"route", call.route_name.value},
+                                  {"config_version", version_in_force_.value},
+                                  {"end", to_string(action.outcome)},
+                                  {"reason", to_string(action.reason)},
+                                  {"status", out.status},
+                                  {"node", action.node.value},
+                                  {"attempts", action.attempts},
+                                  {"outage_ms", action.outage.ms},
+                                  {"ms", taken.ms}};
+              });
   call.exchange->respond(std::move(out));
 }
 
@@ -807,23 +808,7 @@
                     own->report.server.service == settings_.service);
     if (same_service) announcement_tracker_.apply(own->report.server, now);
   }
-  if (effect.config) {
-    auto config = config_parser_(*effect.config);
-    if (ok(config)) {
-      routes_.emplace(value(std::move(config)));
-      caller_server_.set_limits(routes_->config().limits);
-      resume_held_requests();
-      log_info("configuration_in_force",
-               {{"version", update.version.value},
-                {"member", update.member.value},
-                {"member_current", update.has_leader},
-                {"routes", routes_->config().routes.size()}});
-    } else {
-      log_error("configuration_unreadable",
-                {{"version", update.version.value},
-                 {"problem", to_string(errors(config))}});
-    }
-  }
+  if (effect.config) load_config(update, *effect.config);
   std::erase_if(pending_drain_acks_, [&](pending_drain_ack& x) {
     if (subscriber_.acknowledgement_count(x.report_number) < min_drain_holders)
       return false;
@@ -832,6 +817,34 @@
   });
 }
 
+void fleet_node::load_config(const member_update& from, std::string text) {
+  config_worker_.run(
+      [parse = config_parser_, text = std::move(text)] {
+        auto config = parse(text);
+        return ok(config)
+                   ? result<route_table>{route_table{value(std::move(config))}}
+                   : result<route_table>{errors(config)};
+      },
+      [this, version = from.version, member = from.member,
+       is_current = from.has_leader](result<route_table> routes) {
+        if (!ok(routes)) {
+          log_error("configuration_unreadable",
+                    {{"version", version.value},
+                     {"problem", to_string(errors(routes))}});
+          return;
+        }
+        routes_ = value(std::move(routes));
+        version_in_force_ = version;
+        caller_server_.set_limits(routes_->config().limits);
+        resume_held_requests();
+        log_info("configuration_in_force",
+                 {{"version", version.value},
+                  {"member", member.value},
+                  {"member_current", is_current},
+                  {"routes", routes_->config().routes.size()}});
+      });
+}
+
 void fleet_node::send_status_messages() {
   for (const auto& x : subscriber_.on_tick(steady_now())) {
     links_.send(x.to, x.message);
@@ -864,7 +877,7 @@
                 {{"route", x.name.value},
                  {"reason", to_string(refusal::no_server)},
                  {"outage_ms", x.outage.ms},
-                 {"config_version", subscriber_.version().value}});
+                 {"config_version", version_in_force_.value}});
   }
   if (stopping_since_) advance_shutdown();
 }
@@ -877,7 +890,7 @@
 }
 
 auto fleet_node::metrics_text() -> std::string {
-  metrics_.set_config_version(static_cast<double>(subscriber_.version().value));
+  metrics_.set_config_version(static_cast<double>(version_in_force_.value));
   metrics_.set_in_flight(gate_.in_flight(), gate_.queued());
   metrics_.set_ready(is_ready());
   return metrics_.text();
--- a/src/adapters/fleet_node.h
+++ b/src/adapters/fleet_node.h
@@ -14,9 +14,10 @@
 
 #include "adapters/asio.h"
 #include "adapters/backend_client.h"
+#include "adapters/background_worker.h"
 #include "adapters/fleet_metrics.h"
-#include "adapters/loop_delay_log.h"
 #include "adapters/http_server.h"
+#include "adapters/loop_delay_log.h"
 #include "adapters/peer_link.h"
 #include "figwind/announcement.h"
 #include "figwind/crash_detector.h"
@@ -158,6 +159,8 @@
   void on_member_update(const member_update& update);
   void report_backend_state(const std::function<void()>& done);
   void update_gate();
+  /// Parses `text` beside the event loop, then puts it in force.
+  void load_config(const member_update& from, std::string text);
   void send_status_messages();
   void tick();
   void check_links();
@@ -183,12 +186,16 @@
   shutdown_policy shutdown_policy_;
 
   announcement_tracker announcement_tracker_;
+  background_worker config_worker_;
   fleet_subscriber subscriber_;
   fleet_view view_;
   server_gate gate_;
   fleet_metrics metrics_;
   route_calls calls_;
   std::optional<route_table> routes_;
+  /// Version of `routes_`; older than that of `subscriber_` while a new
+  /// configuration is parsed.
+  config_version version_in_force_;
 
   crash_detector crash_detector_;
   backend_client backend_;
--- a/src/decisions/fleet_member.cc
+++ b/src/decisions/fleet_member.cc
@@ -169,9 +169,7 @@
 void fleet_member::propose_change(const pending_request& x,
                                   member_output& out) {
   const auto& change = *x.change;
-  const auto* earlier_answer = store_.find_answer(change.id);
-  if (earlier_answer != nullptr &&
-      earlier_answer->status == change_status::accepted) {
+  if (has_accepted(change.id)) {
     reply(x.ticket, desired_status::done, out);
     return;
   }
@@ -238,6 +236,11 @@
   return start_request(std::nullopt, out);
 }
 
+auto fleet_member::has_accepted(const request_id& id) const -> bool {
+  const auto* answer = store_.find_answer(id);
+  return answer != nullptr && answer->status == change_status::accepted;
+}
+
 auto fleet_member::leader_address() const -> vm_address {
   auto leader = consensus_.leader();
   return leader.value == 0 ? vm_address{} : address_of(leader);
--- a/test/adapter-fleet-test.cc
+++ b/test/adapter-fleet-test.cc
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
@@ -122,8 +123,10 @@
 /// server is on the VM of the second.
 class loopback_fleet {
  public:
-  loopback_fleet()
-      : folder_{std::filesystem::temp_directory_path() /
+  explicit loopback_fleet(
+      route_config_parser parser = platform::parse_desired_state)
+      : parser_{std::move(parser)},
+        folder_{std::filesystem::temp_directory_path() /
                 ("figwind-fleet-" + std::to_string(getpid()))},
         link_port_{free_port()},
         http_port_{free_port()} {
@@ -155,7 +158,8 @@
   auto exchange(int vm, int port, const std::string& bytes) -> std::string {
     auto socket = tcp::socket{loop_};
     socket.connect(*parse_endpoint(address(vm, port)));
-    asio::write(socket, asio::buffer(bytes));
+    asio::async_write(socket, asio::buffer(bytes),
+                      [](boost::system::error_code, std::size_t) {});
     auto input = std::string{};
     auto closed = false;
     auto chunk = std::array<char, 4096>{};
@@ -220,6 +224,30 @@
     });
   }
 
+  /// Sends a change to the members in turn until one leads.
+  auto put_at_leader(const std::string& base, const std::string& text)
+      -> std::string {
+    for (auto i = 1; i <= 3; ++i) {
+      auto answer = put(i, "/v1/config", base, text);
+      if (answer.find(" 307 ") == std::string::npos) return answer;
+    }
+    return {};
+  }
+
+  /// Resends a change, as operators do, until its outcome is known.
+  auto put_until_known(const std::string& base, const std::string& text)
+      -> std::string {
+    auto answer = std::string{};
+    run_until([&] {
+      answer = put_at_leader(base, text);
+      return !answer.empty() && answer.find(" 50") == std::string::npos;
+    });
+    return answer;
+  }
+
+  /// The worker that validates changes.
+  auto validation() -> background_worker& { return worker_; }
+
   std::unique_ptr<scripted_server> backend;
 
  private:
@@ -256,8 +284,11 @@
     members_.push_back(std::make_unique<fleet_control>(loop_, x));
     servers_.push_back(std::make_unique<http_server>(
         loop_, *parse_endpoint(x.control_address),
-        platform::operator_handler(*members_.back(),
+        platform::operator_handler(*members_.back(), worker_,
                                    std::to_string(control_port()))));
+    auto limits = caller_limits{};
+    limits.body_bytes = x.max_state_bytes;
+    servers_.back()->set_limits(limits);
   }
 
   void add_node(int vm) {
@@ -267,8 +298,7 @@
     x.backend_address = address(vm, http_port_ + 3);
     x.service = {vm == 5 ? "contracte" : "counter"};
     nodes_.push_back(std::make_unique<fleet_node>(
-        loop_, x, platform::protocol_header_names(),
-        platform::parse_desired_state));
+        loop_, x, platform::protocol_header_names(), parser_));
     servers_.push_back(
         std::make_unique<http_server>(loop_, *parse_endpoint(x.control_address),
                                       platform::ping_handler(*nodes_.back())));
@@ -278,6 +308,8 @@
   }
 
   event_loop loop_;
+  background_worker worker_{loop_};
+  route_config_parser parser_;
   std::filesystem::path folder_;
   std::uint16_t link_port_;
   std::uint16_t http_port_;
@@ -455,6 +487,95 @@
   EXPECT_EQ(fleet.backend->requests, before);
 }
 
+/// Blocks the thread that calls `wait` until `open` is called, for at most 20
+/// s.
+class barrier {
+ public:
+  void wait() { was_open_ = opened_.wait_for(limit) == ready; }
+  void open() { promise_.set_value(); }
+  auto was_open() const -> bool { return was_open_; }
+
+ private:
+  static constexpr auto limit = std::chrono::seconds{20};
+  static constexpr auto ready = std::future_status::ready;
+  std::promise<void> promise_;
+  std::future<void> opened_ = promise_.get_future();
+  std::atomic<bool> was_open_ = false;
+};
+
+// Guards against a leader that validates a change on its event loop: while it
+// does, it sends no heartbeats, and the other members replace it.
+TEST(fleet_on_loopback, leads_while_a_change_is_validated) {
+  auto fleet = loopback_fleet{};
+  fleet.begin();
+  auto busy = barrier{};
+  auto finished = false;
+  fleet.validation().run(
+      [&] {
+        busy.wait();
+        return true;
+      },
+      [&](bool) { finished = true; });
+  const auto read = [&] {
+    for (auto i = 1; i <= 3; ++i) {
+      const auto answer =
+          fleet.exchange(i, fleet.control_port(),
+                         "GET /v1/config HTTP/1.1\r\nHost: x\r\n\r\n");
+      if (status_of(answer) == "200") return body_of(answer);
+    }
+    return std::string{};
+  };
+  EXPECT_EQ(read(), config_text);
+  EXPECT_FALSE(finished);
+  busy.open();
+  EXPECT_TRUE(fleet.run_until([&] { return finished; }));
+  EXPECT_TRUE(busy.was_open());
+  auto next = std::string{config_text};
+  next.replace(next.find("r1"), 2, "r3");
+  EXPECT_EQ(status_of(fleet.put_until_known("r1", next)), "200");
+}
+
+// Guards against calls that wait, and heartbeats that stop, while a node parses
+// a large configuration.
+TEST(fleet_on_loopback, serves_calls_while_a_configuration_is_parsed) {
+  auto parsing = barrier{};
+  auto started = std::atomic<int>{0};
+  auto fleet = loopback_fleet{[&](const std::string& text) {
+    // Only the first of the two nodes waits.
+    if (text.find("\"r3\"") != std::string::npos && ++started == 1) {
+      parsing.wait();
+    }
+    return platform::parse_desired_state(text);
+  }};
+  fleet.begin();
+  auto next = std::string{config_text};
+  next.replace(next.find("r1"), 2, "r3");
+  ASSERT_EQ(status_of(fleet.put_until_known("r1", next)), "200");
+  ASSERT_TRUE(fleet.run_until([&] { return started > 0; }));
+  EXPECT_EQ(status_of(fleet.call("GET", "/read/x", "meanwhile")), "200");
+  parsing.open();
+  EXPECT_TRUE(fleet.run_until([&] { return parsing.was_open(); }));
+}
+
+// Guards against a refusal that does not name the limit, and against a limit of
+// an inner layer that is lower than that of the operator's interface.
+TEST(fleet_on_loopback, accepts_states_up_to_the_stated_limit) {
+  auto fleet = loopback_fleet{};
+  fleet.begin();
+  // A message that is too long for one log entry or one small frame.
+  auto padded = std::string{config_text};
+  padded.replace(padded.find("r1"), 2, "r3");
+  padded.insert(
+      1, std::string(fleet_settings{}.max_state_bytes - padded.size(), ' '));
+  EXPECT_EQ(status_of(fleet.put_until_known("r1", padded)), "200");
+  auto longer = padded + " ";
+  longer.replace(longer.find("r3"), 2, "r5");
+  const auto refused = fleet.put_until_known("r3", longer);
+  EXPECT_EQ(status_of(refused), "413");
+  EXPECT_NE(refused.find(std::to_string(fleet_settings{}.max_state_bytes)),
+            std::string::npos);
+}
+
 // Guards against changes on top of an outdated version, which would overwrite
 // those of other operators.
 TEST(fleet_on_loopback, accepts_changes_only_on_the_current_version) {
@@ -463,11 +584,7 @@
   auto next = std::string{config_text};
   next.replace(next.find("r1"), 2, "r3");
   const auto at_leader = [&](const std::string& base, const std::string& text) {
-    for (auto i = 1; i <= 3; ++i) {
-      const auto status = status_of(fleet.put(i, "/v1/config", base, text));
-      if (status != "307") return status;
-    }
-    return std::string{"no leader"};
+    return status_of(fleet.put_at_leader(base, text));
   };
   EXPECT_EQ(at_leader("r1", next), "200");
   EXPECT_EQ(at_leader("r1", next), "200");
--- a/test/adapter-platform-json-test.cc
+++ b/test/adapter-platform-json-test.cc
@@ -96,7 +96,9 @@
 // is refused.
 TEST(platform_desired_state, reports_invalid_states) {
   section("a valid one", [] {
-    EXPECT_TRUE(validate_desired_state(desired()).empty());
+    const auto label = validate_desired_state(desired());
+    ASSERT_TRUE(ok(label));
+    EXPECT_EQ(value(label).value, 7U);
     const auto read = parse_desired_state(desired());
     ASSERT_TRUE(ok(read));
     const auto& x = value(read).routes.at(0);
@@ -125,7 +127,7 @@
   };
   for (const auto& x : examples) {
     section(x.from + " as " + x.to, [&] {
-      EXPECT_FALSE(validate_desired_state(desired(x.from, x.to)).empty());
+      EXPECT_FALSE(ok(validate_desired_state(desired(x.from, x.to))));
     });
   }
 }
