Spread a large configuration to the nodes over several pushes

Beyond 1 MiB of text in 20 ms, the other nodes now wait for the next push.

Test: fleet_member.spreads_a_large_state_over_time; before, all 20 nodes got their update in one step.

--- a/include/figwind/fleet_member.h
+++ b/include/figwind/fleet_member.h
@@ -193,6 +193,8 @@
   member_ticket last_ticket_ = 0;
   time_point next_hello_;
   time_point next_push_;
+  /// Configuration text sent to nodes since the last push.
+  std::size_t pushed_bytes_ = 0;
   bool was_current_ = false;
 };
 
--- a/src/decisions/fleet_member.cc
+++ b/src/decisions/fleet_member.cc
@@ -11,6 +11,9 @@
 
 constexpr auto desired_state_record = "desired-state";
 constexpr auto push_period = milliseconds(20);
+// Text of configurations sent in one push period, beyond which no further one
+// is begun: the member must not miss heartbeats while it encodes them.
+constexpr std::size_t max_push_bytes = std::size_t{1} << 20U;
 constexpr std::size_t min_voters = 3;
 constexpr std::size_t max_voters = 7;
 // Limits the memory for messages with arbitrary member ids.
@@ -325,8 +328,12 @@
   out.domain = options_.domain;
   out.has_leader = is_current(now);
   out.version = version_;
-  if (status.wants_config && status.version < version_) {
+  const auto is_behind = status.wants_config && status.version < version_;
+  if (is_behind && pushed_bytes_ >= max_push_bytes) {
+    node.update_due = true;
+  } else if (is_behind) {
     out.config = current_.text;
+    pushed_bytes_ += current_.text.size();
     // Text accepted by the link counts as delivered; the next status corrects
     // it.
     status.version = version_;
@@ -353,6 +360,7 @@
 void fleet_member::push_updates(time_point now, member_output& out) {
   if (now < next_push_) return;
   next_push_ = now + push_period;
+  pushed_bytes_ = 0;
   directory_.expire(now);
   auto current = is_current(now);
   auto all_due = current != was_current_;
@@ -366,7 +374,8 @@
     auto has_changes = node.status.wants_directory &&
                        (node.status.epoch != directory_.epoch() ||
                         node.status.cursor < directory_.cursor());
-    if (all_due || node.update_due || has_changes) {
+    const auto must_wait = node.update_due && pushed_bytes_ >= max_push_bytes;
+    if (all_due || has_changes || (node.update_due && !must_wait)) {
       node.update_due = false;
       out.messages.push_back({at->first, make_update(node, now)});
     }
--- a/test/fleet-member-test.cc
+++ b/test/fleet-member-test.cc
@@ -216,6 +216,35 @@
             desired_status::too_large);
 }
 
+// Guards against a member that misses its heartbeats because it sends a large
+// state to all nodes at once.
+TEST(fleet_member, spreads_a_large_state_over_time) {
+  constexpr auto nodes = 20;
+  auto x = formed(6);
+  const auto large = std::string(std::size_t{600} << 10U, 'a');
+  ASSERT_EQ(x.commit_change(0, 1, "small"), desired_status::done);
+  const auto at = x.leader();
+  for (auto i = 1; i <= nodes; ++i) {
+    auto status = node_status{};
+    status.report.node = {{"10.0.1." + std::to_string(i) + ":7000"}, {1}};
+    status.wants_config = true;
+    x.send_status(at, status);
+  }
+  ASSERT_EQ(x.commit_change(1, 2, large), desired_status::done);
+  x.take_updates();
+  auto sent = 0;
+  for (auto step = 0; step < 100 && sent < nodes; ++step) {
+    x.run(milliseconds(10));
+    auto in_step = 0;
+    for (const auto& update : x.take_updates()) {
+      if (update.config == large) ++in_step;
+    }
+    EXPECT_LE(in_step, 2);
+    sent += in_step;
+  }
+  EXPECT_GE(sent, nodes - 2);
+}
+
 // Guards against a restarted node that accepts an old configuration from an
 // isolated member.
 TEST(fleet_member, reports_whether_its_version_is_current) {
