Cut off responses without end

Callers would get 504 only at their deadline, and a node could run out of memory, when a backend server sends bytes that are no answer until the node closes: in a head, a body, a chunk's extension, trailers, or as responses to nobody.

Cause: the body limit, 64 MiB for each response, is beyond what a node with 160 MB can hold for several, and nothing limited the bytes that are not parsed yet or the number of interim and foreign responses.

All responses that a node receives now share 32 MiB; when they exceed it, one above 1 MiB is cut off. Unparsed bytes are limited to 128 KiB, skipped responses to 16. The request then counts as broken, as after a reset.

Test: fleet_on_loopback.cuts_off_responses_without_end; before, six of nine cases failed (504 at the deadline, or more than 48 MiB read).

--- a/src/adapters/backend_client.cc
+++ b/src/adapters/backend_client.cc
@@ -24,8 +24,16 @@
 // Share of a `Keep-Alive` timeout during which a connection is reused; the
 // server may close the connection early.
 constexpr auto idle_timeout_share = 0.5;
-constexpr auto max_response_bytes = std::size_t{64} << 20U;
+// Bytes of all responses that are being received. A response that exceeds them
+// is cut off, as a faulty server may send bytes without end.
+constexpr auto max_response_bytes = std::size_t{32} << 20U;
+// A response up to this size is received also while others are too long.
+constexpr auto always_received_bytes = std::size_t{1} << 20U;
 constexpr auto max_header_bytes = std::uint32_t{32} << 10U;
+// Received bytes that are not parsed yet, such as the extension of a chunk.
+constexpr auto max_unparsed_bytes = std::size_t{128} << 10U;
+// Interim and duplicate responses before the one to the request.
+constexpr auto max_skipped_responses = 16;
 
 /// Parses the seconds of `timeout=N` in a `Keep-Alive` header.
 auto parse_keep_alive_timeout(const std::string& value)
@@ -141,24 +149,43 @@
     parser_.emplace();
     parser_->body_limit(max_response_bytes);
     parser_->header_limit(max_header_bytes);
+    parser_->eager(true);
     if (request_.method == "HEAD") parser_->skip(true);
-    http::async_read(
+    read_more();
+  }
+
+  void read_more() {
+    http::async_read_some(
         *socket_, buffer_, *parser_,
-        [self = shared_from_this()](error_code error, std::size_t) {
+        [self = shared_from_this()](error_code error, std::size_t size) {
           if (self->is_finished_) return;
           if (error)
             return self->finish(backend_outcome::failed, error.message());
-          self->handle_response();
+          self->received_bytes_ += size;
+          self->owner_.received_bytes_ += size;
+          if (self->exceeds_memory())
+            return self->finish(backend_outcome::failed, "response too long");
+          if (self->parser_->is_done()) return self->handle_response();
+          self->read_more();
         });
   }
 
+  [[nodiscard]] auto exceeds_memory() const -> bool {
+    return owner_.received_bytes_ > max_response_bytes &&
+           received_bytes_ > always_received_bytes;
+  }
+
   void handle_response() {
     const auto message = parser_->release();
     const auto is_interim = message.result_int() < 200;
     const auto echo = std::string{message[request_.echo_header]};
     const auto foreign = !echo.empty() && echo != request_.echo_value;
     // A duplicate response to an earlier request may arrive first.
-    if (is_interim || foreign) return read();
+    if (is_interim || foreign) {
+      if (++skipped_responses_ > max_skipped_responses)
+        return finish(backend_outcome::failed, "responses without a request");
+      return read();
+    }
     if (echo.empty())
       return finish(backend_outcome::failed, "response without a request id");
     response_.status = static_cast<int>(message.result_int());
@@ -184,6 +211,7 @@
   void finish(backend_outcome how, std::string problem) {
     if (std::exchange(is_finished_, true)) return;
     timer_.cancel();
+    owner_.received_bytes_ -= received_bytes_;
     if (socket_) {
       auto ignored = error_code{};
       socket_->close(ignored);
@@ -201,9 +229,11 @@
   std::uint64_t number_;
   std::optional<tcp::socket> socket_;
   http::request<http::string_body> message_;
-  boost::beast::flat_buffer buffer_;
+  boost::beast::flat_buffer buffer_{max_unparsed_bytes};
   std::optional<parser> parser_;
   backend_response response_;
+  std::size_t received_bytes_ = 0;
+  int skipped_responses_ = 0;
   bool is_request_written_ = false;
   bool is_finished_ = false;
 };
--- a/src/adapters/backend_client.h
+++ b/src/adapters/backend_client.h
@@ -104,6 +104,8 @@
   std::vector<std::weak_ptr<pending_request>> pending_requests_;
   std::uint64_t last_request_number_ = 0;
   std::uint64_t opened_connections_ = 0;
+  /// Bytes so far of all responses that are being received.
+  std::size_t received_bytes_ = 0;
 };
 
 }  // namespace figwind
--- a/test/adapter-fleet-test.cc
+++ b/test/adapter-fleet-test.cc
@@ -59,6 +59,11 @@
   }
 
   std::function<std::string(const std::string& id)> script;
+  /// If not empty, sent after the script's bytes again and again until the peer
+  /// closes the connection.
+  std::string endless;
+  std::size_t endless_bytes = 0;
+  int endless_connections = 0;
   int requests = 0;
   /// Number of connections so far, and number of the one with the last request.
   int connections = 0;
@@ -102,11 +107,30 @@
           asio::async_write(
               x->socket, asio::buffer(x->output),
               [this, x, close](boost::system::error_code failed, std::size_t) {
-                if (!failed && !close) read(x);
+                if (!failed && !endless.empty()) {
+                  ++endless_connections;
+                  x->output = endless;
+                  send_without_end(x);
+                } else if (!failed && !close) {
+                  read(x);
+                }
               });
         });
   }
 
+  void send_without_end(const std::shared_ptr<connection>& x) {
+    asio::async_write(
+        x->socket, asio::buffer(x->output),
+        [this, x](boost::system::error_code failed, std::size_t size) {
+          endless_bytes += size;
+          if (failed) {
+            --endless_connections;
+          } else {
+            send_without_end(x);
+          }
+        });
+  }
+
   tcp::acceptor acceptor_;
 };
 
@@ -410,6 +434,70 @@
   }
 }
 
+// Guards against a node that reads bytes without end until its memory is full
+// or the caller's time is over: in a head or a body, or as responses to nobody.
+TEST(fleet_on_loopback, cuts_off_responses_without_end) {
+  constexpr auto max_read = std::size_t{48} << 20U;
+  auto fleet = loopback_fleet{};
+  fleet.begin();
+  struct example {
+    std::string name;
+    /// First bytes of the response.
+    std::function<std::string(const std::string&)> begin;
+    std::string endless;
+  };
+  const auto many = std::string(std::size_t{64} << 10U, 'a');
+  const auto repeat = [](const std::string& x) {
+    auto out = std::string{};
+    while (out.size() < (std::size_t{64} << 10U)) out += x;
+    return out;
+  };
+  const auto head = [](const std::string& id) {
+    return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\n" + is_signed;
+  };
+  const auto chunked = [&](const std::string& id) {
+    return head(id) + "Transfer-Encoding: chunked\r\n\r\n";
+  };
+  const auto none = [](const std::string&) { return std::string{}; };
+  const auto examples = std::vector<example>{
+      {"no protocol", none, many},
+      {"a line of the head",
+       [&](const std::string& id) { return head(id) + "A: "; }, many},
+      {"lines of the head", head, repeat("A: b\r\n")},
+      {"a body without a length",
+       [&](const std::string& id) { return head(id) + "\r\n"; }, many},
+      {"chunks", chunked, repeat("4\r\nabcd\r\n")},
+      {"the extension of a chunk",
+       [&](const std::string& id) { return chunked(id) + "4;"; }, many},
+      {"lines after the last chunk",
+       [&](const std::string& id) { return chunked(id) + "0\r\n"; },
+       repeat("A: b\r\n")},
+      {"interim responses", none, repeat("HTTP/1.1 100 Continue\r\n\r\n")},
+      {"responses to another request", none,
+       repeat(server_response("other", 200, is_signed, "theirs"))},
+  };
+  auto number = 0;
+  for (const auto& x : examples) {
+    section(x.name, [&] {
+      fleet.backend->script = x.begin;
+      fleet.backend->endless = x.endless;
+      fleet.backend->endless_bytes = 0;
+      const auto id = "endless" + std::to_string(++number);
+      EXPECT_EQ(status_of(fleet.call("POST", "/act/x", id)), "502");
+      EXPECT_TRUE(fleet.run_until(
+          [&] { return fleet.backend->endless_connections == 0; }));
+      EXPECT_LE(fleet.backend->endless_bytes, max_read);
+      fleet.backend->endless.clear();
+      fleet.backend->script = [](const std::string& y) {
+        return server_response(y, 200, is_signed, "ok");
+      };
+      EXPECT_TRUE(fleet.run_until([&] {
+        return status_of(fleet.call("GET", "/read/x", id + "-next")) == "200";
+      }));
+    });
+  }
+}
+
 // A late duplicate of a refusal must not pass for the response to the resend of
 // the same request, which would run although the caller got "not run".
 TEST(fleet_on_loopback, resends_a_request_on_another_connection) {
