--- a/test/fleet-cluster.h
+++ b/test/fleet-cluster.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -45,6 +46,12 @@
   /// Ends the process; its disk stays.
   void kill(int number) { members_.at(number).core.reset(); }
 
+  /// Ends the process and drops what its disk has not synced.
+  void lose_power(int number) {
+    kill(number);
+    members_.at(number).files->crash(random_);
+  }
+
   void lose_disk(int number) {
     kill(number);
     members_.at(number).files.reset();
@@ -78,7 +85,8 @@
     return 0;
   }
 
-  /// Cuts off other leaders until member `number` leads; then all are connected.
+  /// Cuts off other leaders until member `number` leads; then all are
+  /// connected.
   auto lead(int number) -> bool {
     for (auto tries = 0; tries < 50; ++tries) {
       const auto other = leader();
@@ -99,6 +107,14 @@
     return voter_count(members_.at(first).core->replicated_log().members());
   }
 
+  /// True if every member runs and its present disk is that of a voter.
+  auto all_vote() const -> bool {
+    return std::all_of(members_.begin(), members_.end(), [](const auto& m) {
+      const auto& x = m.second;
+      return x.core && x.core->replicated_log().state() == member_state::voter;
+    });
+  }
+
   auto core(int number) -> fleet_member& { return *members_.at(number).core; }
 
   auto change(int number, std::uint64_t base, std::uint64_t label,
--- a/test/fleet-member-test.cc
+++ b/test/fleet-member-test.cc
@@ -291,6 +291,46 @@
   EXPECT_GE(sent, nodes - 2);
 }
 
+// Guards against a lost change if any one member loses its disk while all
+// others lose power, right after the change was acknowledged or while it is in
+// progress, also if the members that are left have just been replaced.
+TEST(fleet_member, keeps_accepted_changes_when_all_others_lose_power) {
+  const auto large = random_text(std::size_t{700} << 10U, 1);
+  for (auto seed = std::uint64_t{1}; seed <= seeds_of_schedules; ++seed) {
+    for (auto lost = 1; lost <= 4; ++lost) {
+      section(
+          "seed " + std::to_string(seed) + ", disk of " + std::to_string(lost),
+          [&] {
+            auto x = formed(seed);
+            ASSERT_EQ(x.commit_change(0, 1, "a"), desired_status::done);
+            ASSERT_TRUE(x.run_until([&] { return x.voters() == 4; }));
+            const auto& last = seed % 2 == 0 ? large : std::string{"b"};
+            ASSERT_EQ(x.commit_change(1, 2, last), desired_status::done);
+            section("one more change is in progress", [&] {
+              x.change(x.leader(), 2, 3, "c");
+              x.run(milliseconds(10.0 * static_cast<double>(seed % 4)));
+            });
+            for (auto i = 1; i <= 4; ++i) x.lose_power(i);
+            x.lose_disk(lost);
+            for (auto i = 1; i <= 4; ++i) x.start(i, false);
+            const auto kept = x.read_state();
+            ASSERT_EQ(kept.status, desired_status::done);
+            EXPECT_GE(kept.current.label.value, 2U);
+            EXPECT_TRUE(kept.current.text == last || kept.current.text == "c");
+            ASSERT_TRUE(x.run_until([&] { return x.all_vote(); }));
+            section("the same happens to another disk", [&] {
+              const auto label = kept.current.label.value;
+              ASSERT_EQ(x.commit_change(label, 9, "d"), desired_status::done);
+              for (auto i = 1; i <= 4; ++i) x.lose_power(i);
+              x.lose_disk(lost % 4 + 1);
+              for (auto i = 1; i <= 4; ++i) x.start(i, false);
+              EXPECT_EQ(x.read_state().current.text, "d");
+            });
+          });
+    }
+  }
+}
+
 // Guards against a restarted node that accepts an old configuration from an
 // isolated member.
 TEST(fleet_member, reports_whether_its_version_is_current) {
