--- a/src/adapters/fleet_control.h
+++ b/src/adapters/fleet_control.h
@@ -43,9 +43,6 @@
   [[nodiscard]] auto has_accepted(const request_id& id) const -> bool {
     return member_->has_accepted(id);
   }
-  [[nodiscard]] auto max_state_bytes() const -> std::size_t {
-    return settings_.max_state_bytes;
-  }
 
   [[nodiscard]] auto metrics_text() -> std::string;
 
