--- a/test/soak-operator.h
+++ b/test/soak-operator.h
@@ -74,6 +74,10 @@
   [[nodiscard]] auto last_read() const -> std::uint64_t { return last_read_; }
 
  private:
+  /// Each fourth state has so many routes more, some 500 KB.
+  static constexpr auto large_state_period = 4;
+  static constexpr auto large_state = 2800;
+
   static auto label_of(const std::string& body) -> std::uint64_t {
     const auto at = body.find("\"version\":\"r");
     return at == std::string::npos ? 0 : std::stoull(body.substr(at + 12));
@@ -93,8 +97,13 @@
       return R"({"type":"services","metadata":{"name":")" + name +
              R"("},"spec":{"health-path":"/health","max-conns":100}},)";
     };
+    auto many = std::string{};
+    for (auto i = 0; i < (label % large_state_period == 0 ? large_state : 0);
+         ++i) {
+      many += route("many" + std::to_string(i), "idempotent", "deep");
+    }
     return R"({"version":"r)" + std::to_string(label) + R"(","resources":[)" +
-           route("read", "idempotent", "front") +
+           many + route("read", "idempotent", "front") +
            route("act", "non_idempotent", "front") +
            route("up", "upload", "deep") + route("deep", "idempotent", "deep") +
            route("v" + std::to_string(label) + "-" + std::to_string(variant),
