--- a/src/adapters/fleet_control.cc
+++ b/src/adapters/fleet_control.cc
@@ -26,8 +26,7 @@
 }  // namespace
 
 fleet_control::fleet_control(event_loop& loop, const fleet_settings& settings)
-    : loop_{loop},
-      settings_{settings},
+    : settings_{settings},
       self_address_{address_at(settings.ip, settings.link_port)},
       links_{loop,
              settings.ip,
--- a/src/adapters/fleet_control.h
+++ b/src/adapters/fleet_control.h
@@ -58,7 +58,6 @@
   void log_membership(const member_output& out);
   [[nodiscard]] auto member_options() const -> fleet_member_options;
 
-  event_loop& loop_;
   fleet_settings settings_;
   vm_address self_address_;
   std::unique_ptr<posix_files> files_;
