--- a/test/adapter-platform-json-test.cc
+++ b/test/adapter-platform-json-test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <optional>
+
 #include "platform/announcement_json.h"
 #include "platform/bounds.h"
 #include "platform/desired_state.h"
@@ -132,6 +134,37 @@
   }
 }
 
+// Guards against a refused desired state, or a request that runs twice, because
+// of the kind of a route.
+TEST(platform_desired_state, reads_what_each_kind_of_route_may_repeat) {
+  struct example {
+    std::string kind;
+    std::optional<retry_rule> rule;
+  };
+  const auto examples = std::vector<example>{
+      {"idempotent", retry_rule::idempotent},
+      {"download", retry_rule::idempotent},
+      {"non_idempotent", retry_rule::at_most_once},
+      {"upload", retry_rule::at_most_once},
+      {"Download", std::nullopt},
+      {"stream", std::nullopt},
+      {"", std::nullopt},
+  };
+  for (const auto& x : examples) {
+    section(x.kind, [&] {
+      const auto read = parse_desired_state(desired("non_idempotent", x.kind));
+      ASSERT_EQ(ok(read), x.rule.has_value());
+      if (x.rule) {
+        EXPECT_EQ(value(read).routes.front().retry, *x.rule);
+      } else {
+        ASSERT_FALSE(errors(read).empty());
+        EXPECT_EQ(errors(read).front().location.section, "loans");
+        EXPECT_EQ(errors(read).front().location.key, "route-type");
+      }
+    });
+  }
+}
+
 // Guards against versions that are compared as strings.
 TEST(platform_desired_state, reads_versions_as_numbers) {
   EXPECT_EQ(parse_version("r12")->value, 12U);
