Count the bytes of a response as they are read from the socket

Cause: http::async_read_some reads again by itself while the parser needs more bytes. When each read ends within the head of a chunk, the handler that counts the bytes is not called, and only the limit of the body ends the response. Change: the client reads the socket itself and gives the bytes to the parser. Reads start at 4 KiB and double when they fill their buffer.

--- a/src/adapters/backend_client.cc
+++ b/src/adapters/backend_client.cc
@@ -32,6 +32,9 @@
 constexpr auto max_header_bytes = std::uint32_t{32} << 10U;
 // Received bytes that are not parsed yet, such as the extension of a chunk.
 constexpr auto max_unparsed_bytes = std::size_t{128} << 10U;
+// A read that fills its buffer is followed by one of twice the size.
+constexpr auto min_read_bytes = std::size_t{4} << 10U;
+constexpr auto max_read_bytes = std::size_t{64} << 10U;
 // Interim and duplicate responses before the one to the request.
 constexpr auto max_skipped_responses = 16;
 
@@ -151,25 +154,54 @@
     parser_->header_limit(max_header_bytes);
     parser_->eager(true);
     if (request_.method == "HEAD") parser_->skip(true);
-    read_more();
+    parse();
   }
 
-  void read_more() {
-    http::async_read_some(
-        *socket_, buffer_, *parser_,
-        [self = shared_from_this()](error_code error, std::size_t size) {
+  /// Parses the bytes in the buffer and reads more until the response is
+  /// complete. Bytes are counted as they are read from the socket: the parser
+  /// does not report the bytes of an incomplete chunk head.
+  void parse() {
+    auto error = error_code{};
+    if (buffer_.size() > 0) {
+      buffer_.consume(parser_->put(buffer_.data(), error));
+      if (error && error != http::error::need_more)
+        return finish(backend_outcome::failed, error.message());
+      if (parser_->is_done()) return handle_response();
+    }
+    if (buffer_.size() + read_bytes_ > max_unparsed_bytes)
+      return finish(backend_outcome::failed, "response too long");
+    socket_->async_read_some(
+        buffer_.prepare(read_bytes_),
+        [self = shared_from_this()](error_code read_error, std::size_t size) {
           if (self->is_finished_) return;
-          if (error)
-            return self->finish(backend_outcome::failed, error.message());
-          self->received_bytes_ += size;
-          self->owner_.received_bytes_ += size;
-          if (self->exceeds_memory())
-            return self->finish(backend_outcome::failed, "response too long");
-          if (self->parser_->is_done()) return self->handle_response();
-          self->read_more();
+          self->on_read(read_error, size);
         });
   }
 
+  void on_read(error_code error, std::size_t size) {
+    if (error == asio::error::eof) return on_end_of_stream();
+    if (error) return finish(backend_outcome::failed, error.message());
+    buffer_.commit(size);
+    if (size == read_bytes_) {
+      read_bytes_ = std::min(2 * read_bytes_, max_read_bytes);
+    }
+    received_bytes_ += size;
+    owner_.received_bytes_ += size;
+    if (exceeds_memory())
+      return finish(backend_outcome::failed, "response too long");
+    parse();
+  }
+
+  /// Only a response without a length may end with the connection.
+  void on_end_of_stream() {
+    if (!parser_->got_some())
+      return finish(backend_outcome::failed, "end of stream");
+    auto error = error_code{};
+    parser_->put_eof(error);
+    if (error) return finish(backend_outcome::failed, error.message());
+    handle_response();
+  }
+
   [[nodiscard]] auto exceeds_memory() const -> bool {
     return owner_.received_bytes_ > max_response_bytes &&
            received_bytes_ > always_received_bytes;
@@ -232,6 +264,7 @@
   boost::beast::flat_buffer buffer_{max_unparsed_bytes};
   std::optional<parser> parser_;
   backend_response response_;
+  std::size_t read_bytes_ = min_read_bytes;
   std::size_t received_bytes_ = 0;
   int skipped_responses_ = 0;
   bool is_request_written_ = false;
--- a/test/adapter-fleet-test.cc
+++ b/test/adapter-fleet-test.cc
@@ -467,6 +467,9 @@
       {"a body without a length",
        [&](const std::string& id) { return head(id) + "\r\n"; }, many},
       {"chunks", chunked, repeat("4\r\nabcd\r\n")},
+      // Almost every read ends within the head of a chunk.
+      {"chunks of one byte with long extensions", chunked,
+       "1;" + std::string(std::size_t{60} << 10U, 'a') + "\r\nx\r\n"},
       {"the extension of a chunk",
        [&](const std::string& id) { return chunked(id) + "4;"; }, many},
       {"lines after the last chunk",
