Trace the 504 of a change under load; give copies of the fleet test own addresses

Cause: all members of the test run on its one thread. When it stands still for longer than an election takes while a change is in progress, the leader is replaced and the change is answered 504, as the operator's interface states (resend for a clear answer). Copies of the test failed to start because they shared 127.0.7.x and chose ports apart. run_until evaluated its condition once more after it had held, which sent a change twice. Change: the test resends until the outcome is known, as operators do, and checks the state at the end as well; a new test stops the thread at five moments of a change. Each process takes loopback addresses of its own.

--- a/test/adapter-fleet-test.cc
+++ b/test/adapter-fleet-test.cc
@@ -50,6 +50,17 @@
   return acceptor.local_endpoint().port();
 }
 
+/// First three bytes of loopback addresses that other processes do not use, so
+/// that copies of the tests can run at the same time.
+auto own_network() -> std::string {
+  constexpr auto first = 64;
+  constexpr auto networks = 128;
+  constexpr auto subnets = 256;
+  const auto number = getpid() % (networks * subnets);
+  return "127." + std::to_string(first + number / subnets) + "." +
+         std::to_string(number % subnets) + ".";
+}
+
 /// Backend server that sends the bytes of `script` for each request.
 class scripted_server {
  public:
@@ -152,7 +163,7 @@
       : parser_{std::move(parser)},
         folder_{std::filesystem::temp_directory_path() /
                 ("figwind-fleet-" + std::to_string(getpid()))},
-        link_port_{free_port()},
+        net_{own_network()},
         http_port_{free_port()} {
     for (auto i = 1; i <= 3; ++i) add_member(i);
     for (auto i = 4; i <= 5; ++i) add_node(i);
@@ -170,11 +181,13 @@
   auto run_until(const std::function<bool()>& done) -> bool {
     // Long enough for slow machines; the loop ends with the condition.
     const auto end = steady_now() + seconds(60);
-    while (!done() && steady_now() < end) {
+    auto is_done = done();
+    while (!is_done && steady_now() < end) {
       loop_.run_for(std::chrono::milliseconds{5});
       loop_.restart();
+      is_done = done();
     }
-    return done();
+    return is_done;
   }
 
   /// Sends raw bytes to a port of a VM and returns the bytes received until the
@@ -212,6 +225,9 @@
                         "\r\nX-Deadline-Ms: 2000\r\nContent-Length: 0\r\n\r\n");
   }
 
+  auto address(int vm, int port) const -> vm_address {
+    return address_at(ip(vm), static_cast<std::uint16_t>(port));
+  }
   auto control_port() const -> int { return http_port_ + 2; }
   auto call_port() const -> int { return http_port_; }
   auto ready_port() const -> int { return http_port_ + 1; }
@@ -264,11 +280,36 @@
     auto answer = std::string{};
     run_until([&] {
       answer = put_at_leader(base, text);
-      return !answer.empty() && answer.find(" 50") == std::string::npos;
+      return answer.size() > 12 && answer.find(" 50") == std::string::npos;
     });
     return answer;
   }
 
+  /// Reads the desired state from the members until one leads.
+  auto read_state() -> std::string {
+    auto answer = std::string{};
+    run_until([&] {
+      for (auto i = 1; i <= 3; ++i) {
+        answer = exchange(i, control_port(),
+                          "GET /v1/config HTTP/1.1\r\nHost: x\r\n\r\n");
+        if (answer.find(" 200 ") != std::string::npos) return true;
+      }
+      return false;
+    });
+    const auto head = answer.find("\r\n\r\n");
+    return head == std::string::npos ? "" : answer.substr(head + 4);
+  }
+
+  /// Stops all processes of the fleet for longer than an election takes, `ms`
+  /// from now.
+  void stall_after(int ms) {
+    auto timer = std::make_shared<asio::steady_timer>(loop_);
+    timer->expires_after(std::chrono::milliseconds{ms});
+    timer->async_wait([timer](boost::system::error_code) {
+      std::this_thread::sleep_for(std::chrono::seconds{2});
+    });
+  }
+
   /// The worker that validates changes.
   auto validation() -> background_worker& { return worker_; }
 
@@ -282,17 +323,14 @@
     return input.size() >= head + 4 + std::stoul(input.substr(at + 16));
   }
 
-  static auto address(int vm, int port) -> vm_address {
-    return address_at("127.0.7." + std::to_string(vm),
-                      static_cast<std::uint16_t>(port));
-  }
+  auto ip(int vm) const -> std::string { return net_ + std::to_string(vm); }
 
   auto settings_of(int vm) -> fleet_settings {
     auto x = fleet_settings{};
     x.name = "vm-" + std::to_string(vm);
     x.domain = {"a"};
-    x.ip = "127.0.7." + std::to_string(vm);
-    x.link_port = link_port_;
+    x.ip = ip(vm);
+    x.link_port = static_cast<std::uint16_t>(http_port_ + 4);
     x.control_address = address(vm, control_port());
     for (auto i = 1; i <= 3; ++i) {
       x.seeds.push_back(address(i, control_port()));
@@ -335,7 +373,7 @@
   background_worker worker_{loop_};
   route_config_parser parser_;
   std::filesystem::path folder_;
-  std::uint16_t link_port_;
+  std::string net_;
   std::uint16_t http_port_;
   std::vector<std::unique_ptr<fleet_control>> members_;
   std::vector<std::unique_ptr<fleet_node>> nodes_;
@@ -569,8 +607,8 @@
   auto fleet = loopback_fleet{};
   fleet.begin();
   const auto ping = std::string{
-      R"({"service":"contracte","address":"127.0.7.5:)" +
-      std::to_string(fleet.call_port() + 3) +
+      R"({"service":"contracte","address":")" +
+      fleet.address(5, fleet.call_port() + 3).value +
       R"(","zone":"a","slots":10,"state":"draining","sequence":2,"born":5})"};
   EXPECT_EQ(status_of(fleet.put(5, "/v1/instances/s1", "", ping)), "200");
   const auto before = fleet.backend->requests;
@@ -667,6 +705,26 @@
             std::string::npos);
 }
 
+// Guards against a change that is refused, or reverts, because its leader stood
+// still while it was in progress and an election followed: its answer may be
+// unclear, and a resend is acknowledged.
+TEST(fleet_on_loopback, acknowledges_resends_after_processes_stood_still) {
+  auto fleet = loopback_fleet{};
+  fleet.begin();
+  auto base = std::string{"r1"};
+  auto text = std::string{config_text};
+  for (const auto ms : {0, 2, 3, 5, 13}) {
+    section(std::to_string(ms) + " ms after the change was sent", [&] {
+      const auto version = "r" + std::to_string(std::stoi(base.substr(1)) + 2);
+      text.replace(text.find(base), base.size(), version);
+      fleet.stall_after(ms);
+      EXPECT_EQ(status_of(fleet.put_until_known(base, text)), "200");
+      base = version;
+      EXPECT_EQ(fleet.read_state(), text);
+    });
+  }
+}
+
 // Guards against changes on top of an outdated version, which would overwrite
 // those of other operators.
 TEST(fleet_on_loopback, accepts_changes_only_on_the_current_version) {
@@ -674,14 +732,15 @@
   fleet.begin();
   auto next = std::string{config_text};
   next.replace(next.find("r1"), 2, "r3");
-  const auto at_leader = [&](const std::string& base, const std::string& text) {
-    return status_of(fleet.put_at_leader(base, text));
+  const auto put = [&](const std::string& base, const std::string& text) {
+    return status_of(fleet.put_until_known(base, text));
   };
-  EXPECT_EQ(at_leader("r1", next), "200");
-  EXPECT_EQ(at_leader("r1", next), "200");
+  EXPECT_EQ(put("r1", next), "200");
+  EXPECT_EQ(put("r1", next), "200");
   auto other = next;
   other.replace(other.find("3s"), 2, "4s");
-  EXPECT_EQ(at_leader("r1", other), "412");
-  EXPECT_EQ(at_leader("r3", "{"), "400");
-  EXPECT_EQ(at_leader("0", config_text), "200");
+  EXPECT_EQ(put("r1", other), "412");
+  EXPECT_EQ(put("r3", "{"), "400");
+  EXPECT_EQ(put("0", config_text), "200");
+  EXPECT_EQ(fleet.read_state(), next);
 }
