Close a backend connection on which the server has refused a request

Change: a connection is not used again after a refusal, so an earlier refusal cannot precede a later answer. Identical duplicate lengths are accepted, as RFC 9110 allows.

--- a/src/adapters/backend_client.cc
+++ b/src/adapters/backend_client.cc
@@ -226,8 +226,11 @@
                                      std::string{field.value()});
     }
     response_.body = message.body();
-    const auto reusable =
-        is_request_written_ && message.keep_alive() && buffer_.size() == 0;
+    const auto is_refusal =
+        message.result() == http::status::misdirected_request ||
+        message.count(request_.refusal_header) > 0;
+    const auto reusable = is_request_written_ && !is_refusal &&
+                          message.keep_alive() && buffer_.size() == 0;
     if (reusable) {
       const auto idle = parse_keep_alive_timeout(
           std::string{message[http::field::keep_alive]});
--- a/src/adapters/backend_client.h
+++ b/src/adapters/backend_client.h
@@ -26,6 +26,11 @@
   /// this request. A response with another value belongs to another request.
   std::string echo_header;
   std::string echo_value;
+  /// Header by which the backend server states that it has not run a request.
+  /// A connection with such a response, or one with status 421, is not used
+  /// again: a second copy of it could pass for the response to the next
+  /// request, which would run although its caller got "not run".
+  std::string refusal_header;
 };
 
 enum class backend_outcome : std::uint8_t {
--- a/src/adapters/fleet_node.cc
+++ b/src/adapters/fleet_node.cc
@@ -588,6 +588,7 @@
   out.timeout = time_left + response_grace;
   out.echo_header = header_names_.request_id;
   out.echo_value = request_id_of(x);
+  out.refusal_header = header_names_.not_executed;
   return out;
 }
 
--- /dev/null
+++ b/test/adapter-faulty-server-test.cc
@@ -0,0 +1,267 @@
+// Answers of a faulty backend server, on real sockets: doubled, late, torn or
+// wrongly framed. Whatever a server writes, a caller gets its own complete
+// answer, or none; "not run" only if the server refused this very request.
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+#include "loopback-fleet.h"
+#include "section.h"
+
+using namespace figwind;
+using namespace figwind::test;
+
+namespace {
+
+using ending = scripted_server::ending;
+
+auto complete(const std::string& id) -> std::string {
+  return server_response(id, 200, is_signed, "whole " + id);
+}
+
+/// A status that promises nothing, as after a lost answer.
+auto is_unknown(const std::string& status) -> bool {
+  return status == "502" || status == "504";
+}
+
+/// What may be written on a connection that was used before.
+struct leftover {
+  std::string name;
+  /// Bytes before the answer to the second request `id`; `first` is the id of
+  /// the one before.
+  std::function<std::string(const std::string& first, const std::string& id)>
+      bytes;
+  /// True if the answer to the second request must reach its caller.
+  bool is_answered = true;
+};
+
+auto leftovers() -> std::vector<leftover> {
+  return {
+      {"the answer to the request before",
+       [](const std::string& first, const std::string&) {
+         return complete(first);
+       }},
+      {"it twice",
+       [](const std::string& first, const std::string&) {
+         return complete(first) + complete(first);
+       }},
+      {"a refusal of the request before",
+       [](const std::string& first, const std::string&) {
+         return server_refusal(first);
+       }},
+      {"a failure of the request before",
+       [](const std::string& first, const std::string&) {
+         return server_response(first, 500, is_signed, "bad");
+       }},
+      {"a refusal without an id",
+       [](const std::string&, const std::string&) {
+         return std::string{
+             "HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n"
+             "\r\n"};
+       },
+       false},
+      {"an answer without an id",
+       [](const std::string&, const std::string&) {
+         return std::string{"HTTP/1.1 200 X\r\nContent-Length: 2\r\n"} +
+                is_signed + "\r\nxx";
+       },
+       false},
+      {"an interim response",
+       [](const std::string&, const std::string&) {
+         return std::string{"HTTP/1.1 100 Continue\r\n\r\n"};
+       }},
+      {"bytes of a body",
+       [](const std::string&, const std::string&) {
+         return std::string{"the rest"};
+       },
+       false},
+  };
+}
+
+}  // namespace
+
+// Guards against an answer that reaches the next caller on the connection, and
+// against "not run" for a request that the server runs.
+TEST(faulty_server, leaves_nothing_for_the_next_caller) {
+  auto fleet = loopback_fleet{};
+  fleet.begin();
+  auto& server = *fleet.backend;
+  auto number = 0;
+  for (const auto& x : leftovers()) {
+    for (const auto* path : {"/act/x", "/read/x"}) {
+      const auto method = std::string{path} == "/act/x" ? "POST" : "GET";
+      section(x.name + ", " + path, [&] {
+        const auto first = "first" + std::to_string(++number);
+        const auto id = "second" + std::to_string(number);
+        auto used = std::vector<int>{};
+        server.script = [&](const std::string& asked) {
+          used.push_back(server.last_connection);
+          return asked == id ? x.bytes(first, id) + complete(id)
+                             : complete(asked);
+        };
+        section("while the next request is out", [&] {
+          EXPECT_EQ(body_of(fleet.call(method, path, first)), "whole " + first);
+          const auto answer = fleet.call(method, path, id);
+          ASSERT_GE(used.size(), 2U);
+          EXPECT_EQ(used[0], used[1]);
+          if (x.is_answered) {
+            EXPECT_EQ(status_of(answer), "200");
+            EXPECT_EQ(body_of(answer), "whole " + id);
+          } else {
+            EXPECT_TRUE(is_unknown(status_of(answer))) << answer;
+          }
+        });
+        section("while the connection is idle", [&] {
+          server.script = complete;
+          server.late = x.bytes("late", "late");
+          const auto writes = server.late_writes;
+          EXPECT_EQ(body_of(fleet.call(method, path, "late")), "whole late");
+          server.late.clear();
+          fleet.run_until([&] { return server.late_writes > writes; });
+          const auto after = "after" + std::to_string(number);
+          EXPECT_EQ(body_of(fleet.call(method, path, after)), "whole " + after);
+        });
+      });
+    }
+  }
+}
+
+// Guards against a refusal that the server writes once more with the id of the
+// next request: that request may run, though its caller is told that it has
+// not, or may run at a second server.
+TEST(faulty_server, is_not_asked_again_on_a_connection_with_a_refusal) {
+  auto fleet = loopback_fleet{};
+  fleet.begin();
+  auto& server = *fleet.backend;
+  auto refused_on = std::set<int>{};
+  auto ran = 0;
+  server.script = [&](const std::string& id) {
+    if (refused_on.count(server.last_connection) > 0) {
+      ++ran;
+      return server_refusal(id) + complete(id);
+    }
+    if (id.find("refused") == std::string::npos) return complete(id);
+    refused_on.insert(server.last_connection);
+    return server_refusal(id);
+  };
+  for (auto i = 0; i < 5; ++i) {
+    const auto text = std::to_string(i);
+    fleet.call("POST", "/act/x", "refused" + text);
+    const auto next = "next" + text;
+    EXPECT_EQ(body_of(fleet.call("POST", "/act/x", next)), "whole " + next);
+  }
+  EXPECT_FALSE(refused_on.empty());
+  EXPECT_EQ(ran, 0);
+}
+
+// Guards against a part of an answer, or of its head, that reaches the caller
+// as a complete answer.
+TEST(faulty_server, never_makes_a_torn_answer_look_complete) {
+  auto fleet = loopback_fleet{};
+  fleet.begin();
+  auto& server = *fleet.backend;
+  struct example {
+    std::string name;
+    std::function<std::string(const std::string& id)> answer;
+  };
+  const auto head = [](const std::string& id) {
+    return "HTTP/1.1 200 X\r\nX-Attempt-Id: " + id + "\r\n" + is_signed;
+  };
+  const auto examples = std::vector<example>{
+      {"with a length",
+       [&](const std::string& id) {
+         return head(id) + "Content-Length: 12\r\n\r\nhello, world";
+       }},
+      {"in chunks",
+       [&](const std::string& id) {
+         return head(id) +
+                "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n7\r\n, world"
+                "\r\n0\r\n\r\n";
+       }},
+      {"a refusal", server_refusal},
+  };
+  auto number = 0;
+  for (const auto& x : examples) {
+    for (const auto end : {ending::close, ending::reset}) {
+      section(x.name + (end == ending::close ? ", closed" : ", reset"), [&] {
+        server.end = end;
+        const auto size = x.answer("torn0000").size();
+        for (auto cut = std::size_t{0}; cut < size; ++cut) {
+          server.script = [&](const std::string& id) {
+            return x.answer(id).substr(0, cut);
+          };
+          auto id = std::to_string(10000 + ++number);
+          id = "tor" + id;
+          const auto answer = fleet.call("POST", "/act/x", id);
+          EXPECT_TRUE(is_unknown(status_of(answer)))
+              << "cut at " << cut << ": " << answer;
+        }
+      });
+    }
+  }
+  server.end = ending::keep;
+}
+
+// Guards against an answer whose framing is wrong and that still counts as
+// complete.
+TEST(faulty_server, passes_on_only_well_framed_answers) {
+  auto fleet = loopback_fleet{};
+  fleet.begin();
+  auto& server = *fleet.backend;
+  struct example {
+    std::string name;
+    /// Framing headers and body.
+    std::string framing;
+    ending end;
+    std::string status;
+    std::string body;
+  };
+  const auto examples = std::vector<example>{
+      {"no length, closed", "\r\nhello", ending::close, "200", "hello"},
+      {"no length, reset", "\r\nhello", ending::reset, "502", ""},
+      {"a length, reset after the whole answer",
+       "Content-Length: 5\r\n\r\nhello", ending::reset, "200", "hello"},
+      {"a length that is too long", "Content-Length: 9\r\n\r\nhello",
+       ending::close, "502", ""},
+      {"two lengths", "Content-Length: 5\r\nContent-Length: 3\r\n\r\nhello",
+       ending::close, "502", ""},
+      {"the same length twice",
+       "Content-Length: 5\r\nContent-Length: 5\r\n\r\nhello", ending::close,
+       "200", "hello"},
+      {"a negative length", "Content-Length: -5\r\n\r\nhello", ending::close,
+       "502", ""},
+      {"a huge length", "Content-Length: 99999999999999999999\r\n\r\nhello",
+       ending::close, "502", ""},
+      {"a length that is no number", "Content-Length: five\r\n\r\nhello",
+       ending::close, "502", ""},
+      {"chunks without an end",
+       "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", ending::close, "502",
+       ""},
+      {"a chunk that is too long",
+       "Transfer-Encoding: chunked\r\n\r\n2\r\nhello\r\n0\r\n\r\n",
+       ending::close, "502", ""},
+      {"a negative chunk",
+       "Transfer-Encoding: chunked\r\n\r\n-5\r\nhello\r\n0\r\n\r\n",
+       ending::close, "502", ""},
+      {"an unknown transfer encoding", "Transfer-Encoding: gzip\r\n\r\nhello",
+       ending::reset, "502", ""},
+  };
+  auto number = 0;
+  for (const auto& x : examples) {
+    section(x.name, [&] {
+      server.end = x.end;
+      server.script = [&](const std::string& id) {
+        return "HTTP/1.1 200 X\r\nX-Attempt-Id: " + id + "\r\n" + is_signed +
+               x.framing;
+      };
+      const auto id = "framed" + std::to_string(++number);
+      const auto answer = fleet.call("POST", "/act/x", id);
+      EXPECT_EQ(status_of(answer), x.status);
+      EXPECT_EQ(body_of(answer), x.body);
+    });
+  }
+  server.end = ending::keep;
+  server.script = complete;
+  EXPECT_EQ(body_of(fleet.call("POST", "/act/x", "sound")), "whole sound");
+}
