End calls whose answer is lost while the server answers later ones

Cause: an answer that is lost without a reset, and a full server that keeps silent, cost callers their whole deadline and hold a place of the server's limit. Change: lost_answer_detector ends a call that may be repeated once it has been silent for twice the slowest recent response of its class and 32 later calls were answered. A slow, frozen or cut-off server, and a paused node, are not taken for one. The call ends as unknown; the entry sends it again inside the retry bound.

--- a/src/adapters/fleet_node.cc
+++ b/src/adapters/fleet_node.cc
@@ -562,6 +562,7 @@
     if (found == server_calls_.end() || !found->second.request.idempotent)
       continue;
     backend_.cancel(found->second.backend_request_number);
+    lost_answer_detector_.on_ended(found->second.backend_request_number);
     crash_detector_.on_ended(found->second.fingerprint, steady_now());
     running_calls_.end(request_id_of(found->second), false);
     server_calls_.erase(found);
@@ -609,6 +610,26 @@
       make_backend_request(x, left), [this, which](backend_response response) {
         finish_call(which, std::move(response));
       });
+  // Another call may run only in place of one that may be repeated.
+  if (x.request.idempotent) {
+    lost_answer_detector_.on_started(x.backend_request_number, x.request.name,
+                                     x.started_at);
+  }
+}
+
+void fleet_node::end_lost_calls(time_point now) {
+  for (const auto number : lost_answer_detector_.take_lost(now)) {
+    const auto found = std::find_if(
+        server_calls_.begin(), server_calls_.end(), [&](const auto& x) {
+          return x.second.backend_request_number == number;
+        });
+    if (found == server_calls_.end()) continue;
+    backend_.cancel(number);
+    auto response = backend_response{};
+    response.outcome = backend_outcome::lost;
+    response.error_message = "later calls were answered";
+    finish_call(found->first, std::move(response));
+  }
 }
 
 auto fleet_node::to_call_reply(const backend_response& x) const -> call_reply {
@@ -666,6 +687,12 @@
   if (found == server_calls_.end()) return;
   record_outcome(found->second, response.outcome);
   auto out = to_call_reply(response);
+  const auto number = found->second.backend_request_number;
+  if (out.end == call_end::answered) {
+    lost_answer_detector_.on_answered(number, steady_now());
+  } else {
+    lost_answer_detector_.on_ended(number);
+  }
   if (out.end != call_end::answered) {
     const auto& call = found->second;
     const auto& server = announcement_tracker_.current();
@@ -871,6 +898,7 @@
   }
   send_status_messages();
   execute(gate_.tick(now));
+  end_lost_calls(now);
   for (const auto& actions : calls_.on_tick(now)) execute(actions, nullptr);
   std::erase_if(pending_drain_acks_, [&](pending_drain_ack& x) {
     if (now < x.deadline) return false;
--- a/src/adapters/fleet_node.h
+++ b/src/adapters/fleet_node.h
@@ -23,6 +23,7 @@
 #include "figwind/crash_detector.h"
 #include "figwind/fleet_settings.h"
 #include "figwind/fleet_subscriber.h"
+#include "figwind/lost_answer_detector.h"
 #include "figwind/route_calls.h"
 #include "figwind/running_calls.h"
 #include "figwind/server_gate.h"
@@ -149,6 +150,7 @@
   void send_reply(const gate_call& which, call_reply x);
   void add_run_results(call_reply& x, running_call run);
   void cancel_session_calls(std::uint64_t session);
+  void end_lost_calls(time_point now);
   auto make_backend_request(const server_call& x, duration time_left) const
       -> backend_request;
   [[nodiscard]] auto request_id_of(const server_call& x) const -> std::string;
@@ -198,6 +200,7 @@
   config_version version_in_force_;
 
   crash_detector crash_detector_;
+  lost_answer_detector lost_answer_detector_;
   backend_client backend_;
   link_dialer links_;
   link_listener listener_;
--- a/test/adapter-faulty-server-test.cc
+++ b/test/adapter-faulty-server-test.cc
@@ -265,3 +265,47 @@
   server.script = complete;
   EXPECT_EQ(body_of(fleet.call("POST", "/act/x", "sound")), "whole sound");
 }
+
+// Guards against callers that wait for their whole deadline, and a place that
+// stays taken, when the server loses an answer without a reset or keeps silent
+// because it is full.
+TEST(faulty_server, is_not_waited_for_after_it_answered_later_calls) {
+  auto fleet = loopback_fleet{};
+  fleet.begin();
+  auto patient = std::string{config_text};
+  patient.replace(patient.find("r1"), 2, "r3");
+  for (auto at = patient.find("\"3s\""); at != std::string::npos;
+       at = patient.find("\"3s\"")) {
+    patient.replace(at, 4, "\"90s\"");
+  }
+  ASSERT_EQ(status_of(fleet.put_until_known("r1", patient)), "200");
+  fleet.backend->script = [](const std::string& id) {
+    return id.find("silent") == 0 ? "" : complete(id);
+  };
+  const auto request = [](const std::string& start, const std::string& id) {
+    return start + " HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: " + id +
+           "\r\nX-Deadline-Ms: 90000\r\nContent-Length: 0\r\n\r\n";
+  };
+  auto number = 0;
+  const auto answer_others = [&](const std::string& method,
+                                 const std::string& path, int count) {
+    for (auto i = 0; i < count; ++i) {
+      const auto id = "other" + std::to_string(++number);
+      EXPECT_EQ(body_of(fleet.call(method, path, id)), "whole " + id);
+    }
+  };
+  auto repeatable = std::string{};
+  auto once = std::string{};
+  answer_others("GET", "/read/x", 80);
+  fleet.call_in_background(request("GET /read/x", "silent1"),
+                           [&](const std::string& x) { repeatable = x; });
+  fleet.call_in_background(request("POST /act/x", "silent2"),
+                           [&](const std::string& x) { once = x; });
+  answer_others("POST", "/act/x", 80);
+  answer_others("GET", "/read/x", 80);
+  section("a call that may be repeated ends as unknown", [&] {
+    EXPECT_TRUE(fleet.run_until([&] { return !repeatable.empty(); }));
+    EXPECT_EQ(status_of(repeatable), "502");
+  });
+  section("one that may not is waited for", [&] { EXPECT_EQ(once, ""); });
+}
--- a/test/loopback-fleet.h
+++ b/test/loopback-fleet.h
@@ -261,6 +261,28 @@
   auto address(int vm, int port) const -> vm_address {
     return address_at(ip(vm), static_cast<std::uint16_t>(port));
   }
+  /// Sends raw bytes to the call port of the first node; `done` is called with
+  /// the response, unless the fleet is destroyed before.
+  void call_in_background(const std::string& bytes,
+                          std::function<void(std::string)> done) {
+    struct state {
+      explicit state(event_loop& loop) : socket{loop} {}
+      tcp::socket socket;
+      std::string request;
+      asio::streambuf input;
+    };
+    auto x = std::make_shared<state>(loop_);
+    x->socket.connect(*parse_endpoint(address(4, http_port_)));
+    x->request = bytes;
+    asio::write(x->socket, asio::buffer(x->request));
+    asio::async_read_until(
+        x->socket, x->input, "\r\n\r\n",
+        [x, done = std::move(done)](boost::system::error_code, std::size_t) {
+          const auto data = x->input.data();
+          done({asio::buffers_begin(data), asio::buffers_end(data)});
+        });
+  }
+
   auto control_port() const -> int { return http_port_ + 2; }
   auto call_port() const -> int { return http_port_; }
   auto ready_port() const -> int { return http_port_ + 1; }
