Give figwindd's callers no late copy of another answer

Cause: figwindd kept connections to backend servers although its protocol gave answers no id, so a second copy of an answer was taken for the next one. Change: a server may return Figwind-Request-Id. An answer with another id is broken; only a connection that returned the id, and did not refuse, is used again.

--- a/src/adapters/call_server.cc
+++ b/src/adapters/call_server.cc
@@ -269,8 +269,9 @@
   if (!context.key.value.empty()) {
     headers.emplace(header_name::key, context.key.value);
   }
-  auto got = client_.post(address, "/v1/work/" + context.name.value, headers,
-                          body, context.time_left);
+  auto got =
+      client_.post_request(address, "/v1/work/" + context.name.value, headers,
+                           body, context.time_left, to_string(context.id));
   switch (got.result) {
     case http_result::not_sent:
       return {call_status::not_run, lost_backend(), {}};
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "adapters/address.h"
+#include "adapters/call_headers.h"
 #include "adapters/clock.h"
 
 namespace figwind {
@@ -63,9 +64,9 @@
   if (idle.size() < max_idle_) idle.push_back(std::move(used));
 }
 
-template <class Send>
-auto http_client::exchange(const vm_address& to, duration timeout, Send send)
-    -> http_response {
+template <class Send, class Keep>
+auto http_client::exchange(const vm_address& to, duration timeout, Send send,
+                           Keep may_keep) -> http_response {
   auto used = take(to);
   auto wait = std::max(timeout.ms, 1.0);
   used->set_read_timeout(std::chrono::microseconds{
@@ -78,16 +79,42 @@
   }
   auto response = http_response{http_result::answered, got->status,
                                 got->headers, std::move(got->body)};
-  give_back(to, std::move(used));
+  if (may_keep(response)) give_back(to, std::move(used));
   return response;
 }
 
 auto http_client::post(const vm_address& to, const std::string& path,
                        const httplib::Headers& headers, const std::string& body,
                        duration timeout) -> http_response {
-  return exchange(to, timeout, [&](httplib::Client& c) {
-    return c.Post(path, headers, body, "application/octet-stream");
-  });
+  return exchange(
+      to, timeout,
+      [&](httplib::Client& c) {
+        return c.Post(path, headers, body, "application/octet-stream");
+      },
+      [](const http_response&) { return true; });
+}
+
+auto http_client::post_request(const vm_address& to, const std::string& path,
+                               const httplib::Headers& headers,
+                               const std::string& body, duration timeout,
+                               const std::string& id) -> http_response {
+  const auto returned_id = [](const http_response& x) {
+    const auto found = x.headers.find(header_name::request_id);
+    return found == x.headers.end() ? std::string{} : found->second;
+  };
+  auto response = exchange(
+      to, timeout,
+      [&](httplib::Client& c) {
+        return c.Post(path, headers, body, "application/octet-stream");
+      },
+      [&](const http_response& x) {
+        return returned_id(x) == id && x.status != 503;
+      });
+  const auto returned = returned_id(response);
+  if (!returned.empty() && returned != id) {
+    return {http_result::broken, 0, {}, {}};
+  }
+  return response;
 }
 
 auto http_client::can_connect(const vm_address& to) -> bool {
@@ -99,7 +126,9 @@
 
 auto http_client::get(const vm_address& to, const std::string& path,
                       duration timeout) -> http_response {
-  return exchange(to, timeout, [&](httplib::Client& c) { return c.Get(path); });
+  return exchange(
+      to, timeout, [&](httplib::Client& c) { return c.Get(path); },
+      [](const http_response&) { return true; });
 }
 
 }  // namespace figwind
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -47,6 +47,15 @@
             const httplib::Headers& headers, const std::string& body,
             duration timeout) -> http_response;
 
+  /// Sends one POST for the request `id`. The peer may copy the id into the
+  /// header `Figwind-Request-Id` of its response: a response with another id
+  /// counts as `broken`. The connection is used again only if the id was
+  /// returned and the response is no refusal (503), since nothing else tells a
+  /// late copy of this response from the next one.
+  auto post_request(const vm_address& to, const std::string& path,
+                    const httplib::Headers& headers, const std::string& body,
+                    duration timeout, const std::string& id) -> http_response;
+
   /// True when `to` accepts a new connection.
   static auto can_connect(const vm_address& to) -> bool;
 
@@ -59,9 +68,10 @@
 
   auto take(const vm_address& to) -> connection;
   void give_back(const vm_address& to, connection used);
-  template <class Send>
-  auto exchange(const vm_address& to, duration timeout, Send send)
-      -> http_response;
+  /// Keeps the connection if `may_keep(response)`.
+  template <class Send, class Keep>
+  auto exchange(const vm_address& to, duration timeout, Send send,
+                Keep may_keep) -> http_response;
 
   std::size_t max_idle_;
   std::mutex mutex_;
--- a/src/programs/figwind-demo.cc
+++ b/src/programs/figwind-demo.cc
@@ -56,6 +56,8 @@
   server.Post(R"(/v1/work/([\w-]+))", [](const auto& in, auto& out) {
     auto work = std::chrono::duration<double, std::milli>{FLAGS_work_ms};
     std::this_thread::sleep_for(work);
+    const auto id = in.get_header_value("Figwind-Request-Id");
+    out.set_header("Figwind-Request-Id", id);
     out.set_content("done " + std::string{in.matches[1]} + " " + in.body,
                     "text/plain");
   });
--- a/test/local-process.h
+++ b/test/local-process.h
@@ -72,6 +72,8 @@
     server_.Post(R"(/v1/work/([\w-]+))",
                  [this](const httplib::Request& in, httplib::Response& out) {
                    ++runs;
+                   out.set_header("Figwind-Request-Id",
+                                  in.get_header_value("Figwind-Request-Id"));
                    work_(in, out);
                  });
     auto colon = address_.value.rfind(':');
