Answer requests that arrive while a planned stop closes connections

Cause: at the end of a stop, a node closed its acceptor and all idle connections at once. A request whose bytes had arrived but were not read yet, or whose connection waited to be accepted, was cut off without an answer. Change: the node first accepts what waits, closes only connections without unread bytes, and exits once all have ended, or at the end of the grace period.

--- a/src/adapters/fleet_node.cc
+++ b/src/adapters/fleet_node.cc
@@ -960,7 +960,9 @@
   const auto idle =
       caller_server_.pending_requests() == 0 && server_calls_.empty();
   if (!shutdown_policy_.may_exit(passed, idle)) return;
-  caller_server_.shutdown();
+  const auto is_closed = caller_server_.shutdown();
+  const auto must_exit = shutdown_policy_.may_exit(passed, false);
+  if (!is_closed && !must_exit) return;
   if (on_stopped_) std::exchange(on_stopped_, {})();
 }
 
--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -122,8 +122,10 @@
 
   void run() { wait_for_request(); }
 
+  /// Closes the connection unless a request is in progress or has arrived.
   void close_if_idle() {
-    if (is_idle_) close();
+    auto error = error_code{};
+    if (is_idle_ && socket_.available(error) == 0) close();
   }
 
   void respond(http_server_response x) override {
@@ -400,24 +402,42 @@
 void http_server::accept() {
   acceptor_.async_accept([this](error_code error, tcp::socket socket) {
     if (error == asio::error::operation_aborted) return;
-    if (!error) {
-      auto x = std::make_shared<session>(std::move(socket), state_);
-      if (sessions_.size() > 2 * state_->open_connections + 16) {
-        std::erase_if(sessions_, [](const auto& y) { return y.expired(); });
-      }
-      sessions_.push_back(x);
-      x->run();
-    }
+    if (!error) serve(std::move(socket));
     accept();
   });
 }
 
-void http_server::shutdown() {
-  auto ignored = error_code{};
-  acceptor_.close(ignored);
+void http_server::serve(tcp::socket socket) {
+  auto x = std::make_shared<session>(std::move(socket), state_);
+  if (sessions_.size() > 2 * state_->open_connections + 16) {
+    std::erase_if(sessions_, [](const auto& y) { return y.expired(); });
+  }
+  sessions_.push_back(x);
+  x->run();
+}
+
+/// Takes the connections that callers have opened already, since closing the
+/// acceptor would reset them together with the requests that they carry.
+void http_server::accept_waiting() {
+  auto error = error_code{};
+  acceptor_.non_blocking(true, error);
+  while (!error) {
+    auto socket = tcp::socket{acceptor_.get_executor()};
+    acceptor_.accept(socket, error);
+    if (!error) serve(std::move(socket));
+  }
+}
+
+auto http_server::shutdown() -> bool {
+  if (acceptor_.is_open()) {
+    accept_waiting();
+    auto ignored = error_code{};
+    acceptor_.close(ignored);
+  }
   for (const auto& x : sessions_) {
     if (const auto s = x.lock()) s->close_if_idle();
   }
+  return state_->open_connections == 0;
 }
 
 }  // namespace figwind
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -86,8 +86,15 @@
 
   /// From now on each response closes its connection.
   void disable_keep_alive() { state_->disables_keep_alive = true; }
-  /// Stops accepting connections and closes those without a request.
-  void shutdown();
+  /// Stops accepting connections and closes those without a request. Returns
+  /// true once all connections have ended; to be called again until then, as a
+  /// request may have arrived that was not read yet.
+  auto shutdown() -> bool;
+
+  /// Address at which connections are accepted.
+  [[nodiscard]] auto local_endpoint() const -> tcp::endpoint {
+    return acceptor_.local_endpoint();
+  }
 
   /// Number of requests that wait for their response.
   [[nodiscard]] auto pending_requests() const -> std::size_t {
@@ -101,6 +108,8 @@
   class session;
 
   void accept();
+  void accept_waiting();
+  void serve(tcp::socket socket);
 
   tcp::acceptor acceptor_;
   std::shared_ptr<http_server_state> state_;
