--- a/test/soak-backend.h
+++ b/test/soak-backend.h
@@ -23,10 +23,16 @@
   double lost = 0;
   /// The request is refused before it runs.
   double refused = 0;
-  /// The answer breaks off in its body.
+  /// The answer breaks off in its body or its head.
   double torn = 0;
   /// The server sends a second answer after the first.
   double doubled = 0;
+  /// The server repeats its last answer before the next one on a connection. A
+  /// refusal is repeated with the id of the request that runs.
+  double repeated = 0;
+  /// The server never answers, nor anything further on the connection, as when
+  /// it is full.
+  double silent = 0;
 };
 
 class backend {
@@ -110,6 +116,9 @@
     boost::beast::flat_buffer buffer;
     std::optional<http::request_parser<http::string_body>> parser;
     std::string output;
+    /// The last answer on the connection.
+    std::string last_output;
+    bool last_refused = false;
   };
   using session_ptr = std::shared_ptr<session>;
 
@@ -140,6 +149,7 @@
     }
     const auto repeat = seen_.arrived(id, node_.service);
     if (random_.chance(faults.refused)) return send(x, id, 503, {}, "", true);
+    if (random_.chance(faults.silent)) return;
     seen_.ran({id,
                name_,
                node_.service,
@@ -192,10 +202,16 @@
     if (!signature.empty())
       out += "X-Response-Signature: " + signature + "\r\n";
     out += "\r\n" + body;
+    const auto answer = out;
     const auto torn = body.size() > 10 && random_.chance(faults.torn);
-    if (torn) out.resize(out.size() - 5);
+    if (torn) out.resize(random_.index(out.size() - 5));
     // Bytes after a torn answer would look like the rest of it.
     if (!torn && random_.chance(faults.doubled)) out += out;
+    if (!not_run && random_.chance(faults.repeated)) {
+      out = (x->last_refused ? refusal(id) : x->last_output) + out;
+    }
+    x->last_output = answer;
+    x->last_refused = not_run;
     asio::async_write(x->socket, asio::buffer(out),
                       [this, x, torn](error_code error, std::size_t) {
                         if (torn) return x->close();
@@ -203,6 +219,11 @@
                       });
   }
 
+  static auto refusal(const std::string& id) -> std::string {
+    return "HTTP/1.1 503 X\r\nX-Attempt-Id: " + id +
+           "\r\nContent-Length: 0\r\nX-Not-Executed: 1\r\n\r\n";
+  }
+
   void leave_later(const std::string& name) {
     auto timer = std::make_shared<asio::steady_timer>(loop_);
     timer->expires_after(std::chrono::milliseconds{2600});
--- a/test/soak.cc
+++ b/test/soak.cc
@@ -32,7 +32,10 @@
 class soak {
  public:
   explicit soak(std::uint64_t seed)
-      : random_{seed}, folder_{FLAGS_folder}, quiet_{steady_now()} {
+      : random_{seed},
+        answer_random_{~seed},
+        folder_{FLAGS_folder},
+        quiet_{steady_now()} {
     const auto zones = std::array<std::string, 3>{"a", "b", "c"};
     for (auto i = 0; i < member_count; ++i) add(zones.at(i), "");
     for (auto i = 0; i < FLAGS_nodes; ++i) {
@@ -246,6 +249,8 @@
     x.faults.refused = random_.chance(0.5) ? 0.5 : 0;
     x.faults.torn = random_.chance(0.5) ? 0.1 : 0;
     x.faults.doubled = random_.chance(0.5) ? 0.1 : 0;
+    x.faults.repeated = answer_random_.chance(0.5) ? 0.2 : 0;
+    x.faults.silent = answer_random_.chance(0.5) ? 0.1 : 0;
     x.work = milliseconds(random_.chance(0.3) ? 400 : 10);
     later(time, [&x] {
       x.faults = {};
@@ -320,6 +325,8 @@
   }
 
   random_source random_;
+  /// Choices added later, so that a seed keeps its order of events.
+  random_source answer_random_;
   std::filesystem::path folder_;
   event_loop loop_;
   network_faults network_;
