Tell all members at once that a disk is lost

Cause: after a loss of power, each member waits up to 1 s until all other disks are confirmed or known to be lost. Change: such a member answers the first request of each member with its own.

--- a/include/figwind/consensus.h
+++ b/include/figwind/consensus.h
@@ -347,6 +347,7 @@
   void handle(const snapshot_reply& m);
 
   // consensus_identity.cc
+  [[nodiscard]] auto own_identity_request() const -> identity_request;
   void send_identity_requests();
   void agree_initial_members();
   void form_cluster(const membership& initial);
--- a/src/decisions/consensus_identity.cc
+++ b/src/decisions/consensus_identity.cc
@@ -22,15 +22,19 @@
   state_changed_ = true;
 }
 
+auto consensus::own_identity_request() const -> identity_request {
+  return {header(),
+          settings_.address,
+          !snapshot_ && !state_.joins_only,
+          state_.initial_members,
+          last_index(),
+          false};
+}
+
 void consensus::send_identity_requests() {
   agree_initial_members();
   if (snapshot_ && is_active_voter()) return;
-  auto request = identity_request{header(),
-                                  settings_.address,
-                                  !snapshot_ && !state_.joins_only,
-                                  state_.initial_members,
-                                  last_index(),
-                                  false};
+  auto request = own_identity_request();
   auto contacted = std::set<member_id>{settings_.self};
   auto send_once = [&](const member& m) {
     if (contacted.insert(m.id).second) send_after_persist(m.id, request);
@@ -152,6 +156,13 @@
       new_member_requests_[m.header.from] = m;
       agree_initial_members();
     }
+    // A member that has lost its disk knows only the members in its settings.
+    // It tells the others at their first request, as they wait for it in vain.
+    const auto has_log = m.last_index > 0;
+    if (state_.joins_only && has_log) {
+      next_batch_messages_.push_back(
+          {m.header.from, m.address, own_identity_request()});
+    }
     return;
   }
   const auto* recorded = find_member(members(), m.header.from);
--- a/test/fleet-member-test.cc
+++ b/test/fleet-member-test.cc
@@ -223,6 +223,30 @@
   }
 }
 
+// Guards against callers that wait while members wait in vain for a lost disk:
+// the member that lost its disk knows the seeds only, and must tell the others
+// as well.
+TEST(fleet_member, elects_a_leader_soon_after_a_loss_of_power_and_a_disk) {
+  for (auto lost = 1; lost <= 4; ++lost) {
+    for (auto seed = std::uint64_t{1}; seed <= 10; ++seed) {
+      section("disk " + std::to_string(lost) + " lost, seed " +
+                  std::to_string(seed),
+              [&] {
+                auto x = formed(seed);
+                ASSERT_TRUE(x.run_until([&] { return x.voters() == 4; }));
+                ASSERT_EQ(x.commit_change(0, 1, "a"), desired_status::done);
+                for (auto i = 1; i <= 4; ++i) {
+                  i == lost ? x.lose_disk(i) : x.lose_power(i);
+                }
+                for (auto i = 1; i <= 4; ++i) x.start(i, false);
+                EXPECT_TRUE(x.run_until([&] { return x.leader() != 0; },
+                                        milliseconds(600)));
+                EXPECT_EQ(x.read_state().current.text, "a");
+              });
+    }
+  }
+}
+
 // Guards against a state beyond the limit that is answered as if a resend could
 // succeed, and against a limit below that of the operator's interface.
 TEST(fleet_member, refuses_only_states_above_the_limit) {
