Greet a control member as soon as its link is open

Cause: hellos that were sent before a link was open are lost, and the next follows after 500 ms. Until then a member that has lost its disk does not know members that are no seed, and opens no link to them. Change: each opened link is followed by a hello.

--- a/include/figwind/fleet_member.h
+++ b/include/figwind/fleet_member.h
@@ -110,6 +110,9 @@
   auto on_message(const fleet_message& message, time_point now)
       -> member_output;
 
+  /// A link to `peer` was opened. What was sent to it before is lost.
+  auto on_reachable(const vm_address& peer) -> member_output;
+
   auto on_persisted(std::uint64_t batch) -> member_output;
   auto on_storage_failed() -> member_output;
 
--- a/src/adapters/fleet_control.cc
+++ b/src/adapters/fleet_control.cc
@@ -36,6 +36,7 @@
               [this](const vm_address& peer) {
                 log_info("link_opened", {{"peer", peer.value}});
                 metrics_.count_link_event("opened");
+                if (!disk_failed_) apply_output(member_->on_reachable(peer));
               },
               [this](const vm_address& peer, bool large) {
                 log_info("link_lost", {{"peer", peer.value}, {"large", large}});
--- a/src/decisions/fleet_member.cc
+++ b/src/decisions/fleet_member.cc
@@ -264,6 +264,15 @@
   return {all.begin(), all.end()};
 }
 
+auto fleet_member::on_reachable(const vm_address& peer) -> member_output {
+  // Lets a peer that does not know this member yet open a link to it at once.
+  auto out = member_output{};
+  out.messages.push_back(
+      {peer, member_hello{options_.consensus.self, options_.consensus.address,
+                          false}});
+  return out;
+}
+
 void fleet_member::send_hellos(time_point now, member_output& out) {
   if (now < next_hello_) return;
   next_hello_ = now + options_.hello_period;
--- a/test/fleet-cluster.h
+++ b/test/fleet-cluster.h
@@ -41,8 +41,15 @@
     if (is_empty && !first_start) state.state.joins_only = true;
     x.core = std::make_unique<fleet_member>(options(number), state, now_);
     x.core->set_seeds(seeds());
+    std::erase_if(links_, [&](const auto& link) {
+      return link.first.first == number || link.first.second == number;
+    });
   }
 
+  /// From now on, links are opened this long after both ends run and one knows
+  /// the other; messages before are lost. 0: all links are open.
+  void set_link_delay(duration x) { link_delay_ = x; }
+
   /// Ends the process; its disk stays.
   void kill(int number) { members_.at(number).core.reset(); }
 
@@ -205,8 +212,7 @@
   }
 
   void advance_time() {
-    constexpr auto tick = milliseconds(10);
-    now_ = now_ + tick;
+    now_ = now_ + tick_period;
     for (auto at = in_flight_.begin();
          at != in_flight_.end() && at->first <= now_.ms;) {
       auto x = std::move(at->second);
@@ -216,11 +222,41 @@
       if (lost || to == members_.end() || !to->second.core) continue;
       apply_output(x.to, to->second.core->on_message(x.message, now_));
     }
+    open_links();
     for (auto& [number, x] : members_) {
       if (x.core) apply_output(number, x.core->tick(now_));
     }
   }
 
+  void open_links() {
+    if (link_delay_.ms == 0) return;
+    for (auto& [from, x] : members_) {
+      if (!x.core) continue;
+      for (const auto& peer : x.core->peers()) {
+        const auto to = number_at(peer);
+        if (to == 0 || !members_.at(to).core) continue;
+        auto& open_at = links_[{from, to}];
+        if (open_at.ms == 0) open_at = now_ + link_delay_;
+        const auto opens_now = open_at <= now_ && now_ < open_at + tick_period;
+        if (opens_now) apply_output(from, x.core->on_reachable(peer));
+      }
+    }
+  }
+
+  [[nodiscard]] auto is_open(int from, int to) const -> bool {
+    if (link_delay_.ms == 0) return true;
+    const auto found = links_.find({from, to});
+    return found != links_.end() && found->second <= now_;
+  }
+
+  /// The member at `x`, or 0.
+  [[nodiscard]] auto number_at(const vm_address& x) const -> int {
+    for (const auto& [number, process] : members_) {
+      if (address(number) == x) return number;
+    }
+    return 0;
+  }
+
   void apply_output(int number, member_output out) {
     auto& x = members_.at(number);
     for (auto& m : out.messages) send(number, std::move(m));
@@ -239,21 +275,22 @@
       return;
     }
     const auto delay = 1 + random_.uniform() * 9;
-    for (const auto& [number, x] : members_) {
-      if (address(number) == m.to) {
-        in_flight_.emplace(
-            now_.ms + delay,
-            message_in_flight{from, number, std::move(m.message)});
-        return;
-      }
-    }
+    const auto to = number_at(m.to);
+    if (to == 0 || !is_open(from, to)) return;
+    in_flight_.emplace(now_.ms + delay,
+                       message_in_flight{from, to, std::move(m.message)});
   }
 
+  static constexpr auto tick_period = milliseconds(10);
+
   random_source random_;
   time_point now_{1000};
   std::map<int, member_process> members_;
   std::multimap<double, message_in_flight> in_flight_;
   std::set<std::pair<int, int>> disconnected_;
+  duration link_delay_;
+  /// Times at which links are open, by the numbers of their ends.
+  std::map<std::pair<int, int>, time_point> links_;
   std::map<std::pair<int, member_ticket>, desired_reply> replies_;
   std::vector<member_update> updates_;
 };
--- a/test/fleet-member-test.cc
+++ b/test/fleet-member-test.cc
@@ -238,9 +238,10 @@
                 for (auto i = 1; i <= 4; ++i) {
                   i == lost ? x.lose_disk(i) : x.lose_power(i);
                 }
+                x.set_link_delay(milliseconds(60));
                 for (auto i = 1; i <= 4; ++i) x.start(i, false);
                 EXPECT_TRUE(x.run_until([&] { return x.leader() != 0; },
-                                        milliseconds(600)));
+                                        milliseconds(500)));
                 EXPECT_EQ(x.read_state().current.text, "a");
               });
     }
