--- a/test/adapter-http-client-test.cc
+++ b/test/adapter-http-client-test.cc
@@ -53,6 +53,8 @@
   }
 
   std::atomic<int> connections{0};
+  /// True if the server closes each connection after what it has written.
+  std::atomic<bool> closes{false};
 
  private:
   void serve() {
@@ -83,6 +85,9 @@
           socket,
           asio::buffer(answer_(head.substr(at, head.find('\r', at) - at))),
           error);
+      if (!closes) continue;
+      socket.shutdown(tcp::socket::shutdown_both, error);
+      return;
     }
   }
 
@@ -161,6 +166,36 @@
   EXPECT_EQ(server.connections, 2);
 }
 
+// Guards against an answer that breaks off in its head or body and that still
+// counts as complete.
+TEST(http_client, takes_no_torn_answer_for_a_complete_one) {
+  struct example {
+    std::string name;
+    std::string answer;
+  };
+  const auto head = std::string{"HTTP/1.1 200 OK\r\nFigwind-Request-Id: 1\r\n"};
+  const auto examples = std::vector<example>{
+      {"with a length", head + "Content-Length: 12\r\n\r\nhello, world"},
+      {"in chunks",
+       head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n7\r\n, "
+              "world\r\n0\r\n\r\n"},
+  };
+  for (const auto& x : examples) {
+    section(x.name, [&] {
+      auto size = std::size_t{0};
+      auto server = raw_server{
+          [&](const std::string&) { return x.answer.substr(0, size); }};
+      server.closes = true;
+      auto client = http_client{4};
+      for (; size < x.answer.size(); ++size) {
+        EXPECT_NE(send(client, server, "1").result, http_result::answered)
+            << "cut at " << size;
+      }
+      EXPECT_EQ(send(client, server, "1").body, "hello, world");
+    });
+  }
+}
+
 // Guards against a connection for each request to a server that returns ids.
 TEST(http_client, reuses_connections_that_return_the_id) {
   auto server = raw_server{
