Take no torn chunked answer of a backend server for a complete one

Cause: the reader of cpp-httplib 0.11 ends a chunked body without an error at a line that does not end with CRLF, so an answer cut between CR and LF behind a chunk reached figwindd's caller as a complete success. Change: http_client sends and reads with Boost.Beast; bytes behind an answer end the connection. Ruled out: the nodes of the platform, which use Boost.Beast already. Result: http_client.takes_no_torn_answer_for_a_complete_one failed at 2 cuts and passes; 22 tests of the client, the processes and the command line pass.

--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -1,61 +1,152 @@
 #include "adapters/http_client.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <algorithm>
-#include <chrono>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
 #include <utility>
 
 #include "adapters/address.h"
+#include "adapters/asio.h"
 #include "adapters/call_headers.h"
-#include "adapters/clock.h"
 
 namespace figwind {
 namespace {
 
-// Data that stays unacknowledged this long breaks the connection, so that a
-// path that drops packets silently is found without an answer's time-out.
-constexpr auto unacknowledged_limit_ms = 2000U;
-constexpr auto connect_timeout = std::chrono::milliseconds{500};
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using error_code = boost::system::error_code;
 
-void set_options(socket_t socket) {
-  setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_limit_ms,
-             sizeof unacknowledged_limit_ms);
-}
+constexpr auto connect_timeout = milliseconds(500);
+constexpr auto max_response_bytes = std::uint64_t{64} << 20U;
+constexpr auto max_header_bytes = std::uint32_t{64} << 10U;
+// Interim responses before the final one.
+constexpr auto max_interim_responses = 16;
 
-auto open(const vm_address& to) -> std::unique_ptr<httplib::Client> {
-  auto at = split(to);
-  auto made = std::make_unique<httplib::Client>(at.host, at.port);
-  made->set_keep_alive(true);
-  made->set_tcp_nodelay(true);
-  made->set_connection_timeout(connect_timeout);
-  made->set_socket_options(set_options);
-  return made;
-}
+}  // namespace
 
-auto failure(httplib::Error error, bool late) -> http_result {
-  if (error == httplib::Error::Connection ||
-      error == httplib::Error::ConnectionTimeout) {
-    return http_result::not_sent;
+/// A connection whose operations block the calling thread.
+///
+/// Reads with Boost.Beast because the client of cpp-httplib 0.11 takes a
+/// chunked response for complete if it breaks off behind the data of a chunk.
+class http_connection {
+ public:
+  /// Returns false if `to` accepts no connection in time.
+  auto open(const vm_address& to) -> bool {
+    const auto at = split(to);
+    host_ = to.value;
+    auto error = error_code{};
+    const auto endpoints =
+        tcp::resolver{loop_}.resolve(at.host, std::to_string(at.port), error);
+    if (error) return false;
+    stream_.expires_after(to_chrono(connect_timeout));
+    error = wait([&](auto done) { stream_.async_connect(endpoints, done); });
+    if (error) return false;
+    set_socket_options(stream_.socket());
+    return true;
   }
-  return late ? http_result::timed_out : http_result::broken;
-}
 
-}  // namespace
+  /// False if the peer has closed the connection or sent bytes that belong to
+  /// no request.
+  auto is_reusable() -> bool {
+    auto has_bytes = false;
+    return !is_closed_by_peer(stream_.socket(), has_bytes) && !has_bytes;
+  }
+
+  auto exchange(const http_client::request& x, duration timeout)
+      -> http_response {
+    stream_.expires_after(to_chrono(std::max(timeout, milliseconds(1))));
+    auto message = make_message(x);
+    const auto error =
+        wait([&](auto done) { http::async_write(stream_, message, done); });
+    if (error) return failure(error);
+    return read();
+  }
+
+  /// True if the last response ended where the next one may begin.
+  [[nodiscard]] auto keeps_alive() const -> bool { return keeps_alive_; }
+
+ private:
+  auto make_message(const http_client::request& x) const
+      -> http::request<http::string_body> {
+    auto out = http::request<http::string_body>{};
+    out.version(11);
+    out.method_string(x.method);
+    out.target(x.path);
+    out.set(http::field::host, host_);
+    for (const auto& [name, value] : x.headers) out.insert(name, value);
+    if (x.method == "POST") {
+      out.set(http::field::content_type, "application/octet-stream");
+    }
+    out.body() = x.body;
+    out.prepare_payload();
+    return out;
+  }
+
+  auto read() -> http_response {
+    for (auto i = 0; i <= max_interim_responses; ++i) {
+      auto parser = http::response_parser<http::string_body>{};
+      parser.body_limit(max_response_bytes);
+      parser.header_limit(max_header_bytes);
+      const auto error = wait(
+          [&](auto done) { http::async_read(stream_, buffer_, parser, done); });
+      if (error) return failure(error);
+      if (parser.get().result_int() < 200) continue;
+      keeps_alive_ = parser.get().keep_alive() && buffer_.size() == 0;
+      return to_response(parser.release());
+    }
+    return {http_result::broken, 0, {}, {}};
+  }
 
-auto http_client::take(const vm_address& to) -> connection {
-  {
-    auto lock = std::lock_guard{mutex_};
-    auto& idle = idle_[to];
-    if (!idle.empty()) {
-      auto used = std::move(idle.back());
-      idle.pop_back();
-      return used;
+  static auto to_response(http::response<http::string_body> x)
+      -> http_response {
+    auto out = http_response{};
+    out.result = http_result::answered;
+    out.status = static_cast<int>(x.result_int());
+    for (const auto& field : x) {
+      out.headers.emplace(std::string{field.name_string()},
+                          std::string{field.value()});
     }
+    out.body = std::move(x.body());
+    return out;
+  }
+
+  static auto failure(error_code error) -> http_response {
+    const auto is_late = error == beast::error::timeout;
+    return {is_late ? http_result::timed_out : http_result::broken, 0, {}, {}};
+  }
+
+  /// Starts an operation, runs the loop until it has ended and returns its
+  /// error.
+  template <class Start>
+  auto wait(Start start) -> error_code {
+    auto out = error_code{asio::error::operation_aborted};
+    start([&out](error_code error, const auto&...) { out = error; });
+    loop_.restart();
+    loop_.run();
+    return out;
+  }
+
+  event_loop loop_;
+  beast::tcp_stream stream_{loop_};
+  beast::flat_buffer buffer_;
+  std::string host_;
+  bool keeps_alive_ = false;
+};
+
+http_client::http_client(std::size_t max_idle) : max_idle_{max_idle} {}
+
+http_client::~http_client() = default;
+
+auto http_client::take_idle(const vm_address& to) -> connection {
+  auto lock = std::lock_guard{mutex_};
+  auto& idle = idle_[to];
+  while (!idle.empty()) {
+    auto used = std::move(idle.back());
+    idle.pop_back();
+    if (used->is_reusable()) return used;
   }
-  return open(to);
+  return nullptr;
 }
 
 void http_client::give_back(const vm_address& to, connection used) {
@@ -64,34 +155,27 @@
   if (idle.size() < max_idle_) idle.push_back(std::move(used));
 }
 
-template <class Send, class Keep>
-auto http_client::exchange(const vm_address& to, duration timeout, Send send,
-                           Keep may_keep) -> http_response {
-  auto used = take(to);
-  auto wait = std::max(timeout.ms, 1.0);
-  used->set_read_timeout(std::chrono::microseconds{
-      static_cast<std::chrono::microseconds::rep>(wait * 1000)});
-  auto start = steady_now();
-  auto got = send(*used);
-  if (!got) {
-    auto late = steady_now() - start >= timeout;
-    return http_response{failure(got.error(), late), 0, {}, {}};
+template <class Keep>
+auto http_client::exchange(const vm_address& to, const request& x,
+                           duration timeout, Keep may_keep) -> http_response {
+  auto used = take_idle(to);
+  if (!used) {
+    used = std::make_unique<http_connection>();
+    if (!used->open(to)) return {http_result::not_sent, 0, {}, {}};
+  }
+  auto response = used->exchange(x, timeout);
+  const auto is_complete = response.result == http_result::answered;
+  if (is_complete && used->keeps_alive() && may_keep(response)) {
+    give_back(to, std::move(used));
   }
-  auto response = http_response{http_result::answered, got->status,
-                                got->headers, std::move(got->body)};
-  if (may_keep(response)) give_back(to, std::move(used));
   return response;
 }
 
 auto http_client::post(const vm_address& to, const std::string& path,
                        const httplib::Headers& headers, const std::string& body,
                        duration timeout) -> http_response {
-  return exchange(
-      to, timeout,
-      [&](httplib::Client& c) {
-        return c.Post(path, headers, body, "application/octet-stream");
-      },
-      [](const http_response&) { return true; });
+  return exchange(to, {"POST", path, headers, body}, timeout,
+                  [](const http_response&) { return true; });
 }
 
 auto http_client::post_request(const vm_address& to, const std::string& path,
@@ -102,14 +186,10 @@
     const auto found = x.headers.find(header_name::request_id);
     return found == x.headers.end() ? std::string{} : found->second;
   };
-  auto response = exchange(
-      to, timeout,
-      [&](httplib::Client& c) {
-        return c.Post(path, headers, body, "application/octet-stream");
-      },
-      [&](const http_response& x) {
-        return returned_id(x) == id && x.status != 503;
-      });
+  auto response = exchange(to, {"POST", path, headers, body}, timeout,
+                           [&](const http_response& x) {
+                             return returned_id(x) == id && x.status != 503;
+                           });
   const auto returned = returned_id(response);
   if (!returned.empty() && returned != id) {
     return {http_result::broken, 0, {}, {}};
@@ -118,17 +198,13 @@
 }
 
 auto http_client::can_connect(const vm_address& to) -> bool {
-  auto probe = open(to);
-  auto got = probe->Get("/healthz");
-  return got || (got.error() != httplib::Error::Connection &&
-                 got.error() != httplib::Error::ConnectionTimeout);
+  return http_connection{}.open(to);
 }
 
 auto http_client::get(const vm_address& to, const std::string& path,
                       duration timeout) -> http_response {
-  return exchange(
-      to, timeout, [&](httplib::Client& c) { return c.Get(path); },
-      [](const http_response&) { return true; });
+  return exchange(to, {"GET", path, {}, {}}, timeout,
+                  [](const http_response&) { return true; });
 }
 
 }  // namespace figwind
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -34,13 +34,20 @@
   std::string body;
 };
 
+class http_connection;
+
 /// Connections by address; thread-safe. A connection carries one request at a
 /// time and is dropped after any failure, because what is read on it later
 /// could belong to an older request.
 class http_client {
  public:
   /// Keeps at most `max_idle` unused connections for each address.
-  explicit http_client(std::size_t max_idle) : max_idle_{max_idle} {}
+  explicit http_client(std::size_t max_idle);
+  ~http_client();
+  http_client(const http_client&) = delete;
+  auto operator=(const http_client&) -> http_client& = delete;
+  http_client(http_client&&) = delete;
+  auto operator=(http_client&&) -> http_client& = delete;
 
   /// Sends one POST; waits at most `timeout` for the response.
   auto post(const vm_address& to, const std::string& path,
@@ -64,13 +71,22 @@
       -> http_response;
 
  private:
-  using connection = std::unique_ptr<httplib::Client>;
-
-  auto take(const vm_address& to) -> connection;
+  using connection = std::unique_ptr<http_connection>;
+  struct request {
+    std::string method;
+    std::string path;
+    httplib::Headers headers;
+    std::string body;
+  };
+
+  friend class http_connection;
+
+  /// Returns an idle connection that the peer has not closed, or null.
+  auto take_idle(const vm_address& to) -> connection;
   void give_back(const vm_address& to, connection used);
   /// Keeps the connection if `may_keep(response)`.
-  template <class Send, class Keep>
-  auto exchange(const vm_address& to, duration timeout, Send send,
+  template <class Keep>
+  auto exchange(const vm_address& to, const request& x, duration timeout,
                 Keep may_keep) -> http_response;
 
   std::size_t max_idle_;
