Bound the backlog of a class by the slots that more important classes leave

Cause: the threshold of a queue allowed a backlog of 40 ms of all slots. Where more important classes use nine slots of ten, the backlog consists of the least important class and drains ten times slower: its admitted calls waited 150 ms and were refused after the services above them had done their work. Change: the target of the backlog, and the correction, scale with the slots that are left to the class at which the threshold lies. New test: 66 of 2,083 admitted calls waited in vain before.

--- a/include/figwind/admission.h
+++ b/include/figwind/admission.h
@@ -119,7 +119,7 @@
   [[nodiscard]] auto admitted_share(std::uint64_t rank) const -> double;
   void update_estimate(std::uint64_t rank, rank_demand& x,
                        double elapsed_ms) const;
-  [[nodiscard]] auto threshold_for(double allowed_slots) const
+  [[nodiscard]] auto threshold_for(const queue_load& load) const
       -> admission_level;
 
   threshold_options options_;
--- a/src/decisions/admission.cc
+++ b/src/decisions/admission.cc
@@ -116,17 +116,26 @@
   x.highest_share = 0;
 }
 
-auto threshold_controller::threshold_for(double allowed_slots) const
+auto threshold_controller::threshold_for(const queue_load& load) const
     -> admission_level {
-  auto remaining = allowed_slots;
+  auto remaining_slots = load.slots;
+  auto least_allowed = load.slots * min_admitted_share;
   for (const auto& [rank, x] : demand_) {
-    if (x.estimated_slots > remaining) {
-      const auto share = remaining / x.estimated_slots;
+    // Less important calls wait until a slot is left by the others, so the same
+    // backlog delays them longer.
+    const auto target = remaining_slots * options_.delay_target.ms;
+    const auto correction =
+        (target - load.backlog.ms) / options_.correction_time.ms;
+    const auto allowed_slots =
+        std::max(remaining_slots + correction, least_allowed);
+    if (x.estimated_slots > allowed_slots) {
+      const auto share = allowed_slots / x.estimated_slots;
       const auto offset = std::min(share * static_cast<double>(levels_per_rank),
                                    static_cast<double>(levels_per_rank - 1));
       return {(rank << rank_bits) | static_cast<std::uint64_t>(offset)};
     }
-    remaining -= x.estimated_slots;
+    remaining_slots = std::max(remaining_slots - x.estimated_slots, 0.0);
+    least_allowed = std::max(least_allowed - x.estimated_slots, 0.0);
   }
   return admit_all_threshold;
 }
@@ -139,12 +148,7 @@
   std::erase_if(demand_, [](const auto& x) {
     return x.second.estimated_slots < min_tracked_slots;
   });
-  const auto target = load.slots * options_.delay_target.ms;
-  const auto correction =
-      (target - load.backlog.ms) / options_.correction_time.ms;
-  const auto allowed_slots =
-      std::max(load.slots + correction, load.slots * min_admitted_share);
-  threshold_ = threshold_for(allowed_slots);
+  threshold_ = threshold_for(load);
 }
 
 }  // namespace figwind
--- a/test/admission-test.cc
+++ b/test/admission-test.cc
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <deque>
+#include <map>
+
 #include "figwind/random.h"
 #include "section.h"
 
@@ -107,6 +110,44 @@
           });
 }
 
+// Guards against admitting calls of the least important class that then wait
+// for a slot until they are refused: the more important classes leave it one
+// slot in ten, so a backlog that is short for all slots together is long for
+// it.
+TEST(threshold_controller, bounds_the_wait_of_the_least_important_class) {
+  constexpr auto max_wait = milliseconds(150);
+  auto control = threshold_controller{threshold_options{}};
+  auto random = random_source{7};
+  auto queues = std::map<int, std::deque<time_point>>{};
+  auto admitted = 0;
+  auto expired = 0;
+  // Ten slots in which each call takes 10 ms complete one call a millisecond.
+  for (auto now = time_point{}; now < time_point{20'000};
+       now = now + milliseconds(1)) {
+    for (const auto& [rank, rate] : {std::pair{1, 0.9}, {2, 0.5}}) {
+      const auto call = call_of(rank, random.bits());
+      if (!random.chance(rate) || !control.admits(call)) continue;
+      control.count_arrival(level_of(call), milliseconds(10));
+      queues[rank].push_back(now);
+      if (rank == 2) ++admitted;
+    }
+    auto& low = queues[2];
+    while (!low.empty() && now - low.front() > max_wait) {
+      low.pop_front();
+      ++expired;
+    }
+    auto& next = queues[1].empty() ? low : queues[1];
+    if (!next.empty()) next.pop_front();
+    if (!control.due(now)) continue;
+    const auto queued = static_cast<double>(queues[1].size() + low.size());
+    control.update({10, milliseconds(queued * 10)}, now);
+  }
+  section("the class gets the slots that are left",
+          [&] { EXPECT_GT(admitted - expired, 20'000 * 0.1 * 0.8); });
+  section("few of its admitted calls wait in vain",
+          [&] { EXPECT_LE(expired, admitted * 0.03); });
+}
+
 // Guards against an entry node that refuses calls because of services which the
 // class does not use, ignores the strictest threshold, or uses expired ones.
 TEST(entry_gate, applies_the_strictest_threshold_of_the_chain) {
