Judge a service's threshold by its recent answers, not by its servers

Cause: an entry node took the median over the servers of a service and counted those without a report of the last second as admitting all. It gets an answer from each of 27 servers less often than that, and of two servers the mean with one that admits all admits all, so requests were admitted that the deepest service then refused. Change: each report is a sample for one second; a complete answer without a report of a service in its chain is a sample that admits all.

--- a/include/figwind/admission.h
+++ b/include/figwind/admission.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <limits>
 #include <map>
 #include <unordered_map>
@@ -139,7 +140,10 @@
 
 /// Admission control at the entry node. A request must be admitted by the
 /// strictest threshold of the services in the observed call chain of its class,
-/// and must have enough time left for the whole chain.
+/// and must have enough time left for the whole chain. The threshold of a
+/// service is the median over its recent answers, so that servers count as
+/// often as they are used; of a large service, a node hears from few servers
+/// within the time for which a report holds.
 class entry_gate {
  public:
   explicit entry_gate(const entry_gate_options& options = {});
@@ -154,9 +158,15 @@
                        const std::vector<threshold_report>& reports,
                        time_point now);
 
-  /// Sets the number of servers of `service`. A server without a report counts
-  /// with a threshold that admits every request, because servers report a
-  /// threshold only while they refuse calls.
+  /// Records that a request of the class with these reports was completed: the
+  /// servers that it used of the other services in its chain admit all.
+  void observe_complete(const class_name& name,
+                        const std::vector<threshold_report>& reports,
+                        time_point now);
+
+  /// Sets the number of servers of `service`. While few answers are known, a
+  /// server without a report counts with a threshold that admits every request,
+  /// because servers report a threshold only while they refuse calls.
   void set_server_count(const service_name& service, std::size_t count);
 
   /// Records the end-to-end latency of a complete answer of the class.
@@ -173,14 +183,13 @@
       -> std::vector<threshold_report>;
 
  private:
-  struct received_threshold {
-    vm_address reporter;
+  struct threshold_sample {
     admission_level threshold;
     time_point received_at;
   };
 
   struct service_view {
-    std::vector<received_threshold> thresholds;
+    std::deque<threshold_sample> samples;
     std::size_t server_count = 0;
     admission_level combined = admit_all_threshold;
     time_point combined_at{-1e18};
@@ -191,7 +200,8 @@
     time_estimate latency;
   };
 
-  void store_report(const threshold_report& report, time_point now);
+  void add_sample(const service_name& service, admission_level threshold,
+                  time_point now);
   auto combined(service_view& view, time_point now) const -> admission_level;
 
   entry_gate_options options_;
--- a/src/decisions/entry_gate.cc
+++ b/src/decisions/entry_gate.cc
@@ -12,57 +12,49 @@
 // Shortest interval between two computations of a service's combined threshold.
 constexpr auto min_combine_interval = milliseconds(5);
 
-// Maximum number of reporters kept for one service; beyond it, a new reporter
-// replaces the one with the oldest report.
-constexpr auto max_reporters = std::size_t{32};
+// Latest samples of a service's thresholds that are kept.
+constexpr auto max_samples = std::size_t{64};
 
+// Servers of a service that count as admitting all until they are known, so
+// that the first report of one slow server does not close the service.
+constexpr auto max_assumed_samples = std::size_t{4};
+
+/// Returns the lower of the two middle values if their number is even: their
+/// mean would admit all if one of them does.
 auto median(std::vector<std::uint64_t>& levels) -> admission_level {
-  std::sort(levels.begin(), levels.end());
-  const auto upper = levels[levels.size() / 2];
-  const auto lower = levels[(levels.size() - 1) / 2];
-  return {lower + (upper - lower) / 2};
+  const auto middle =
+      levels.begin() + static_cast<std::ptrdiff_t>((levels.size() - 1) / 2);
+  std::nth_element(levels.begin(), middle, levels.end());
+  return {*middle};
 }
 
 }  // namespace
 
 entry_gate::entry_gate(const entry_gate_options& options) : options_{options} {}
 
-void entry_gate::store_report(const threshold_report& report, time_point now) {
-  auto& view = services_[report.service];
-  auto found = std::find_if(
-      view.thresholds.begin(), view.thresholds.end(),
-      [&](const auto& x) { return x.reporter == report.reporter; });
-  if (found == view.thresholds.end() &&
-      view.thresholds.size() >= max_reporters) {
-    found = std::min_element(view.thresholds.begin(), view.thresholds.end(),
-                             [](const auto& a, const auto& b) {
-                               return a.received_at < b.received_at;
-                             });
-  }
-  if (found == view.thresholds.end()) {
-    view.thresholds.push_back({report.reporter, report.threshold, now});
-    return;
-  }
-  *found = {report.reporter, report.threshold, now};
+void entry_gate::add_sample(const service_name& service,
+                            admission_level threshold, time_point now) {
+  auto& samples = services_[service].samples;
+  if (samples.size() == max_samples) samples.pop_front();
+  samples.push_back({threshold, now});
 }
 
 auto entry_gate::combined(service_view& view, time_point now) const
     -> admission_level {
   const auto age = now - view.combined_at;
   if (age < min_combine_interval) return view.combined;
-  std::erase_if(view.thresholds, [&](const auto& x) {
+  std::erase_if(view.samples, [&](const auto& x) {
     return now - x.received_at >= options_.report_expiry;
   });
   view.combined_at = now;
-  view.combined = admit_all_threshold;
-  if (view.thresholds.empty()) return view.combined;
   auto levels = std::vector<std::uint64_t>{};
-  levels.reserve(view.thresholds.size());
-  for (const auto& x : view.thresholds) levels.push_back(x.threshold.value);
-  if (levels.size() < view.server_count) {
-    levels.resize(view.server_count, admit_all_threshold.value);
+  levels.reserve(view.samples.size());
+  for (const auto& x : view.samples) levels.push_back(x.threshold.value);
+  const auto assumed = std::min(view.server_count, max_assumed_samples);
+  if (levels.size() < assumed) {
+    levels.resize(assumed, admit_all_threshold.value);
   }
-  view.combined = median(levels);
+  view.combined = levels.empty() ? admit_all_threshold : median(levels);
   return view.combined;
 }
 
@@ -73,13 +65,24 @@
   for (auto& [service, share] : chain.service_shares)
     share *= 1 - answer_weight;
   for (const auto& report : reports) {
-    store_report(report, now);
+    add_sample(report.service, report.threshold, now);
     const auto [at, is_new] =
         chain.service_shares.try_emplace(report.service, 1.0);
     if (!is_new) at->second = std::min(1.0, at->second + answer_weight);
   }
 }
 
+void entry_gate::observe_complete(const class_name& name,
+                                  const std::vector<threshold_report>& reports,
+                                  time_point now) {
+  for (const auto& [service, share] : chains_[name].service_shares) {
+    const auto reported =
+        std::any_of(reports.begin(), reports.end(),
+                    [&](const auto& x) { return x.service == service; });
+    if (!reported) add_sample(service, admit_all_threshold, now);
+  }
+}
+
 void entry_gate::set_server_count(const service_name& service,
                                   std::size_t count) {
   services_[service].server_count = count;
--- a/src/decisions/route_calls.cc
+++ b/src/decisions/route_calls.cc
@@ -238,6 +238,7 @@
   const auto failed = answer.status >= 500;
   if (!failed || answer.no_server_found) breaker_.observe(x.name, failed, now);
   if (!failed) {
+    gate_.observe_complete(x.name, answer.thresholds, now);
     gate_.observe_latency(x.name, now - x.started, now);
     downstream_[x.name] = {answer.levels_below, answer.retry_budget_used};
   }
--- a/test/admission-test.cc
+++ b/test/admission-test.cc
@@ -212,6 +212,32 @@
   });
 }
 
+// Guards against a large service that never counts as overloaded: an entry node
+// gets an answer from each of its servers less often than reports expire.
+TEST(entry_gate, judges_a_large_service_by_the_answers_that_arrive) {
+  constexpr auto servers = 30;
+  auto gate = entry_gate{};
+  const auto call = call_of(3, 4);
+  gate.set_server_count({"beneficiari"}, servers);
+  auto now = time_point{1000};
+  section("given ten answers a second, all with a threshold", [&] {
+    for (auto i = 0; i < 10; ++i) {
+      gate.observe_reports(
+          call.name,
+          {report("beneficiari", std::to_string(i * 3), call_of(1, 1))}, now);
+      now = now + milliseconds(100);
+    }
+    EXPECT_EQ(gate.decide(call, now), refusal::overload);
+  });
+  section("complete answers without one show that most servers have room", [&] {
+    for (auto i = 0; i < 20; ++i) {
+      gate.observe_complete(call.name, {}, now);
+      now = now + milliseconds(20);
+    }
+    EXPECT_EQ(gate.decide(call, now), refusal::none);
+  });
+}
+
 // Guards against admitting a call whose chain cannot end before the deadline,
 // and against an estimate that still refuses calls after the chain is fast
 // again.
