Count servers that admit all; refuse at the entry only if most servers do

Cause: a server reports a threshold only while it refuses calls, so a run with four calls, of which one met an overloaded server, counted as overloaded whole, and the median refused requests although a call that one server refuses is sent to others. Change: a run also passes on that its other servers admit all, if one does not; the threshold of a service is the upper quartile of its samples. New test of the samples of a run.

--- a/include/figwind/running_calls.h
+++ b/include/figwind/running_calls.h
@@ -27,7 +27,8 @@
   /// Levels of calls below this run and their retry use, from the answers of
   /// its calls.
   downstream_retries downstream;
-  /// Thresholds of the services that its calls used, one for each server.
+  /// Thresholds of the services that its calls used, one for each server. At
+  /// the end of the run, services whose servers all admit all are left out.
   std::vector<threshold_report> thresholds;
 };
 
@@ -58,6 +59,12 @@
                         const downstream_retries& call,
                         const std::vector<threshold_report>& thresholds);
 
+  /// A call of the run `id` was completed by the server of `node`. Unless
+  /// `thresholds`, those of the answer, have one of this node, it admits all.
+  void on_call_completed(const std::string& id, const service_name& service,
+                         const vm_address& node,
+                         const std::vector<threshold_report>& thresholds);
+
   /// A call of the run `id`, or one downstream of it, found no server.
   void on_no_server(const std::string& id);
 
--- a/src/adapters/fleet_node.cc
+++ b/src/adapters/fleet_node.cc
@@ -420,7 +420,10 @@
 }
 
 void fleet_node::on_call_reply(const call_reply& answer) {
-  sent_calls_.erase(answer.call);
+  const auto sent = sent_calls_.find(answer.call);
+  const auto node =
+      sent == sent_calls_.end() ? self_address_ : sent->second.node;
+  if (sent != sent_calls_.end()) sent_calls_.erase(sent);
   const auto call = caller_requests_.find(answer.call);
   if (call != caller_requests_.end() &&
       !call->second.parent_request_id.empty()) {
@@ -431,6 +434,11 @@
     running_calls_.on_call_answered(call->second.parent_request_id,
                                     is_complete(answer), below,
                                     answer.thresholds);
+    if (is_complete(answer)) {
+      running_calls_.on_call_completed(call->second.parent_request_id,
+                                       call->second.last_service, node,
+                                       answer.thresholds);
+    }
     if (answer.no_server_found)
       running_calls_.on_no_server(call->second.parent_request_id);
   }
--- a/src/decisions/entry_gate.cc
+++ b/src/decisions/entry_gate.cc
@@ -19,13 +19,14 @@
 // that the first report of one slow server does not close the service.
 constexpr auto max_assumed_samples = std::size_t{4};
 
-/// Returns the lower of the two middle values if their number is even: their
-/// mean would admit all if one of them does.
-auto median(std::vector<std::uint64_t>& levels) -> admission_level {
-  const auto middle =
-      levels.begin() + static_cast<std::ptrdiff_t>((levels.size() - 1) / 2);
-  std::nth_element(levels.begin(), middle, levels.end());
-  return {*middle};
+/// Returns the highest level that a quarter of the samples admit. A call that
+/// one server refuses is sent to others, so a service refuses it only if most
+/// of its servers do.
+auto upper_quartile(std::vector<std::uint64_t>& levels) -> admission_level {
+  const auto at =
+      levels.begin() + static_cast<std::ptrdiff_t>((levels.size() - 1) * 3 / 4);
+  std::nth_element(levels.begin(), at, levels.end());
+  return {*at};
 }
 
 }  // namespace
@@ -54,7 +55,7 @@
   if (levels.size() < assumed) {
     levels.resize(assumed, admit_all_threshold.value);
   }
-  view.combined = levels.empty() ? admit_all_threshold : median(levels);
+  view.combined = levels.empty() ? admit_all_threshold : upper_quartile(levels);
   return view.combined;
 }
 
@@ -75,11 +76,11 @@
 void entry_gate::observe_complete(const class_name& name,
                                   const std::vector<threshold_report>& reports,
                                   time_point now) {
-  for (const auto& [service, share] : chains_[name].service_shares) {
+  for (const auto& used : chains_[name].service_shares) {
     const auto reported =
         std::any_of(reports.begin(), reports.end(),
-                    [&](const auto& x) { return x.service == service; });
-    if (!reported) add_sample(service, admit_all_threshold, now);
+                    [&](const auto& x) { return x.service == used.first; });
+    if (!reported) add_sample(used.first, admit_all_threshold, now);
   }
 }
 
--- a/src/decisions/running_calls.cc
+++ b/src/decisions/running_calls.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <utility>
 
 namespace figwind {
@@ -28,6 +29,18 @@
   }
 }
 
+/// Removes the reports of services of which no server restricts calls; the
+/// caller assumes so of services without a report.
+void remove_unrestricted(std::vector<threshold_report>& reports) {
+  auto restricted = std::set<service_name>{};
+  for (const auto& x : reports) {
+    if (x.threshold != admit_all_threshold) restricted.insert(x.service);
+  }
+  std::erase_if(reports, [&](const threshold_report& x) {
+    return restricted.count(x.service) == 0;
+  });
+}
+
 }  // namespace
 
 void running_calls::start(const std::string& id, const class_name& name,
@@ -45,6 +58,7 @@
   if (found == runs_.end()) return {};
   auto run = std::move(found->second);
   runs_.erase(found);
+  remove_unrestricted(run.thresholds);
   if (complete) {
     const auto calls = static_cast<double>(run.calls_answered);
     const auto [mean, is_new] = mean_calls_.try_emplace(run.name, calls);
@@ -85,4 +99,16 @@
   merge(run.thresholds, thresholds);
 }
 
+void running_calls::on_call_completed(
+    const std::string& id, const service_name& service, const vm_address& node,
+    const std::vector<threshold_report>& thresholds) {
+  const auto found = runs_.find(id);
+  if (found == runs_.end()) return;
+  const auto reported =
+      std::any_of(thresholds.begin(), thresholds.end(),
+                  [&](const auto& x) { return x.reporter == node; });
+  if (reported) return;
+  merge(found->second.thresholds, {{service, node, admit_all_threshold}});
+}
+
 }  // namespace figwind
--- a/test/running-calls-test.cc
+++ b/test/running-calls-test.cc
@@ -93,5 +93,31 @@
   });
 }
 
+// Guards against a service that counts as overloaded because each run uses one
+// of its few overloaded servers, beside others that report no threshold.
+TEST(running_calls, pass_on_that_other_servers_admit_all) {
+  auto runs = running_calls{};
+  const auto service = service_name{"beneficiari"};
+  runs.start("r", scans, {});
+  section("given four calls of which one met an overloaded server", [&] {
+    const auto overloaded = std::vector{report("a", 5)};
+    runs.on_call_answered("r", true, {}, overloaded);
+    runs.on_call_completed("r", service, {"a"}, overloaded);
+    for (const auto* node : {"b", "c", "d"}) {
+      runs.on_call_answered("r", true, {}, {});
+      runs.on_call_completed("r", service, {node}, {});
+    }
+    const auto run = runs.end("r", true);
+    ASSERT_EQ(run.thresholds.size(), 4U);
+    EXPECT_EQ(run.thresholds[0].threshold.value, 5U);
+    EXPECT_EQ(run.thresholds[3].threshold, admit_all_threshold);
+  });
+  section("nothing is passed on if all servers admit all", [&] {
+    runs.start("r", scans, {});
+    runs.on_call_completed("r", service, {"b"}, {});
+    EXPECT_TRUE(runs.end("r", true).thresholds.empty());
+  });
+}
+
 }  // namespace
 }  // namespace figwind
