Hold no buffer for idle links; open links for large messages on demand

A call was also recorded for the large link by the size of its body and sent by that of its frame: with a body just below 16 KiB, the loss of the large link left the call waiting for its deadline. Change: all links of a process read into one buffer; a node opens a large link with the first large message, which takes the small link; members keep both, so that no large log entry delays a heartbeat. send returns the link used.

--- a/src/adapters/fleet_control.cc
+++ b/src/adapters/fleet_control.cc
@@ -30,6 +30,7 @@
       self_address_{address_at(settings.ip, settings.link_port)},
       links_{loop,
              settings.ip,
+             large_link_use::always,
              {[](const vm_address&, const fleet_message&) {
                 // Members reply over the links that they open themselves.
               },
@@ -38,8 +39,9 @@
                 metrics_.count_link_event("opened");
                 if (!disk_failed_) apply_output(member_->on_reachable(peer));
               },
-              [this](const vm_address& peer, bool large) {
-                log_info("link_lost", {{"peer", peer.value}, {"large", large}});
+              [this](const vm_address& peer, link_kind kind) {
+                log_info("link_lost", {{"peer", peer.value},
+                                       {"large", kind == link_kind::large}});
                 metrics_.count_link_event("lost");
               }}},
       listener_{
--- a/src/adapters/fleet_node.cc
+++ b/src/adapters/fleet_node.cc
@@ -64,6 +64,7 @@
       backend_{loop},
       links_{loop,
              settings.ip,
+             large_link_use::on_demand,
              {[this](const vm_address&, fleet_message m) {
                 if (const auto* update = std::get_if<member_update>(&m)) {
                   on_member_update(*update);
@@ -80,8 +81,8 @@
                 const auto crashes = crash_detector_.full_report(steady_now());
                 if (!crashes.requests.empty()) links_.send(peer, crashes);
               },
-              [this](const vm_address& peer, bool large) {
-                on_link_lost(peer, large);
+              [this](const vm_address& peer, link_kind kind) {
+                on_link_lost(peer, kind);
               }}},
       listener_{
           loop, *parse_endpoint(link_listen_address(settings)),
--- a/src/adapters/fleet_node.h
+++ b/src/adapters/fleet_node.h
@@ -136,7 +136,7 @@
   void cancel(const cancel_action& action);
   void finish_request(const end_action& action, const call_reply* answer);
   void on_call_reply(const call_reply& answer);
-  void on_link_lost(const vm_address& peer, bool large);
+  void on_link_lost(const vm_address& peer, link_kind kind);
   void update_servers();
   void update_retry_slack();
 
@@ -213,8 +213,7 @@
   /// Node and link from which the reply to a sent call is expected.
   struct sent_call {
     vm_address node;
-    /// True for the link for large messages.
-    bool large = false;
+    link_kind link = link_kind::small;
   };
   std::unordered_map<std::uint64_t, sent_call> sent_calls_;
   /// Number of reachable servers by service.
--- a/src/adapters/fleet_node_entry.cc
+++ b/src/adapters/fleet_node_entry.cc
@@ -223,9 +223,8 @@
     on_call_request({local_session, action.call}, std::move(out), {});
     return;
   }
-  const auto large = link_dialer::is_large(out.body.size());
-  if (links_.send(action.node, out)) {
-    sent_calls_[action.call] = {action.node, large};
+  if (const auto link = links_.send(action.node, out)) {
+    sent_calls_[action.call] = {action.node, *link};
     return;
   }
   sent_calls_.erase(action.call);
@@ -310,14 +309,15 @@
   execute(calls_.on_answer(answer, steady_now()), &answer);
 }
 
-void fleet_node::on_link_lost(const vm_address& peer, bool large) {
+void fleet_node::on_link_lost(const vm_address& peer, link_kind kind) {
   server_update_due_ = true;
   auto lost = std::vector<std::uint64_t>{};
   for (const auto& [number, x] : sent_calls_) {
-    if (x.node == peer && x.large == large) lost.push_back(number);
+    if (x.node == peer && x.link == kind) lost.push_back(number);
   }
-  log_info("link_lost",
-           {{"peer", peer.value}, {"large", large}, {"calls", lost.size()}});
+  log_info("link_lost", {{"peer", peer.value},
+                         {"large", kind == link_kind::large},
+                         {"calls", lost.size()}});
   metrics_.count_link_event("lost");
   for (const auto number : lost) {
     sent_calls_.erase(number);
--- a/src/adapters/peer_link.cc
+++ b/src/adapters/peer_link.cc
@@ -1,5 +1,6 @@
 #include "adapters/peer_link.h"
 
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -35,41 +36,62 @@
 link_session::link_session(tcp::socket socket, std::uint64_t number)
     : socket_{std::move(socket)}, number_{number} {
   set_socket_options(socket_);
+  auto ignored = error_code{};
+  socket_.non_blocking(true, ignored);
 }
 
 void link_session::start(handlers to) {
   handlers_ = std::move(to);
-  read();
+  wait_for_bytes();
 }
 
-void link_session::read() {
-  const auto old = input_.size();
-  input_.resize(old + read_size);
-  socket_.async_read_some(
-      asio::buffer(input_.data() + old, read_size),
-      [self = shared_from_this(), old](error_code error, std::size_t got) {
-        if (error) return self->fail();
-        self->input_.resize(old + got);
-        self->awaiting_bytes_since_ = {};
-        self->is_probe_sent_ = false;
-        self->handle_frames();
-        if (self->is_open_) self->read();
-      });
+void link_session::wait_for_bytes() {
+  socket_.async_wait(tcp::socket::wait_read,
+                     [self = shared_from_this()](error_code error) {
+                       if (error) return self->fail();
+                       self->receive();
+                     });
+}
+
+void link_session::receive() {
+  // One buffer serves all links of the thread: a process has hundreds of them,
+  // and most are idle.
+  static thread_local auto buffer = std::array<char, read_size>{};
+  auto error = error_code{};
+  const auto got = socket_.read_some(asio::buffer(buffer), error);
+  if (error && error != asio::error::would_block) return fail();
+  if (got > 0) {
+    awaiting_bytes_since_ = {};
+    is_probe_sent_ = false;
+    const auto bytes = std::string_view{buffer.data(), got};
+    if (input_.empty()) {
+      input_ = bytes.substr(handle_frames(bytes));
+    } else {
+      input_ += bytes;
+      input_.erase(0, handle_frames(input_));
+    }
+    if (input_.empty()) input_.shrink_to_fit();
+  }
+  if (is_open_) wait_for_bytes();
 }
 
-void link_session::handle_frames() {
-  auto view = std::string_view{input_};
-  while (is_open_ && view.size() - input_consumed_ >= frame_prefix_size) {
-    const auto head = view.substr(input_consumed_);
+auto link_session::handle_frames(std::string_view bytes) -> std::size_t {
+  auto used = std::size_t{0};
+  while (is_open_ && bytes.size() - used >= frame_prefix_size) {
+    const auto head = bytes.substr(used);
     const auto size = parse_frame_size(head);
-    if (size > max_frame_size) return fail();
+    if (size > max_frame_size) {
+      fail();
+      break;
+    }
     if (head.size() < frame_prefix_size + size) break;
     auto message = decode_frame(head.substr(frame_prefix_size, size));
-    input_consumed_ += frame_prefix_size + size;
+    used += frame_prefix_size + size;
     if (!ok(message)) {
       log_warning("link_refused_frame",
                   {{"reason", errors(message).front().message}});
-      return fail();
+      fail();
+      break;
     }
     const auto* ping = std::get_if<link_ping>(&value(message));
     if (ping == nullptr) {
@@ -80,11 +102,7 @@
       awaiting_bytes_since_ = {};
     }
   }
-  input_.erase(0, input_consumed_);
-  input_consumed_ = 0;
-  if (input_.empty() && input_.capacity() > 4 * read_size) {
-    input_.shrink_to_fit();
-  }
+  return used;
 }
 
 void link_session::send(const fleet_message& message) {
@@ -186,14 +204,23 @@
   acceptor_.close(ignored);
 }
 
-link_dialer::link_dialer(event_loop& loop, std::string ip, handlers to)
-    : loop_{loop}, ip_{std::move(ip)}, handlers_{std::move(to)} {}
+link_dialer::link_dialer(event_loop& loop, std::string ip, large_link_use use,
+                         handlers to)
+    : loop_{loop},
+      ip_{std::move(ip)},
+      large_link_use_{use},
+      handlers_{std::move(to)} {}
 
 void link_dialer::set_peers(const std::vector<vm_address>& peers) {
   for (auto& [to, x] : peers_) x.is_wanted = false;
   for (const auto& address : peers) {
-    for (const auto large : {false, true}) {
-      peers_[{address, large}].is_wanted = true;
+    peers_[{address, link_kind::small}].is_wanted = true;
+    const auto large = link_key{address, link_kind::large};
+    const auto known = peers_.find(large);
+    if (known != peers_.end()) {
+      known->second.is_wanted = true;
+    } else if (large_link_use_ == large_link_use::always) {
+      peers_.try_emplace(large);
     }
   }
   for (auto at = peers_.begin(); at != peers_.end();) {
@@ -207,29 +234,39 @@
   }
 }
 
-auto link_dialer::is_large(std::size_t bytes) -> bool {
-  return bytes >= large_message_bytes;
-}
-
 auto link_dialer::is_reachable(const vm_address& peer) const -> bool {
-  const auto found = peers_.find({peer, false});
+  const auto found = peers_.find({peer, link_kind::small});
   if (found == peers_.end()) return false;
   return found->second.session != nullptr && !found->second.is_unresponsive;
 }
 
+auto link_dialer::open_session(const link_key& to) const
+    -> std::shared_ptr<link_session> {
+  const auto found = peers_.find(to);
+  return found == peers_.end() ? nullptr : found->second.session;
+}
+
 auto link_dialer::send(const vm_address& to, const fleet_message& message)
-    -> bool {
+    -> std::optional<link_kind> {
   auto frame = encode_frame(message);
-  const auto found = peers_.find({to, is_large(frame.size())});
-  if (found == peers_.end() || !found->second.session) return false;
-  found->second.session->send_frame(std::move(frame));
-  return true;
+  const auto small = open_session({to, link_kind::small});
+  if (frame.size() >= large_message_bytes) {
+    if (const auto large = open_session({to, link_kind::large})) {
+      large->send_frame(std::move(frame));
+      return link_kind::large;
+    }
+    if (small) peers_.try_emplace({to, link_kind::large});
+    if (large_link_use_ == large_link_use::always) return std::nullopt;
+  }
+  if (!small) return std::nullopt;
+  small->send_frame(std::move(frame));
+  return link_kind::small;
 }
 
 void link_dialer::broadcast(const fleet_message& message) {
   const auto frame = encode_frame(message);
   for (const auto& [to, x] : peers_) {
-    if (!to.large && x.session) x.session->send_frame(frame);
+    if (to.kind == link_kind::small && x.session) x.session->send_frame(frame);
   }
 }
 
@@ -243,10 +280,11 @@
     if (found == peers_.end()) continue;
     auto& x = found->second;
     if (x.session) {
-      const auto suspect = !to.large && x.session->is_unresponsive(now);
+      const auto is_small = to.kind == link_kind::small;
+      const auto suspect = is_small && x.session->is_unresponsive(now);
       changed |= suspect != std::exchange(x.is_unresponsive, suspect);
       x.session->check_liveness(
-          now, to.large ? large_link_timeout : small_link_timeout);
+          now, is_small ? small_link_timeout : large_link_timeout);
     } else if (x.connecting) {
       if (!x.backoff.has_timed_out(now)) continue;
       auto ignored = error_code{};
@@ -302,7 +340,8 @@
                       handlers_.on_message(to.address, std::move(m));
                     },
                     [this, to, number] { on_lost(to, number); }});
-  if (!to.large && handlers_.on_connected) handlers_.on_connected(to.address);
+  if (to.kind == link_kind::small && handlers_.on_connected)
+    handlers_.on_connected(to.address);
 }
 
 void link_dialer::on_lost(const link_key& to, std::uint64_t number) {
@@ -310,8 +349,7 @@
   const auto known = found != peers_.end() && found->second.session &&
                      found->second.session->number() == number;
   if (known) found->second.session.reset();
-  if (handlers_.on_disconnected)
-    handlers_.on_disconnected(to.address, to.large);
+  if (handlers_.on_disconnected) handlers_.on_disconnected(to.address, to.kind);
 }
 
 }  // namespace figwind
--- a/src/adapters/peer_link.h
+++ b/src/adapters/peer_link.h
@@ -7,7 +7,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <unordered_map>
 #include <vector>
@@ -48,16 +50,18 @@
   }
 
  private:
-  void read();
-  void handle_frames();
+  void wait_for_bytes();
+  void receive();
+  /// Handles the complete frames at the start of `bytes`; returns their size.
+  auto handle_frames(std::string_view bytes) -> std::size_t;
   void flush();
   void fail();
 
   tcp::socket socket_;
   std::uint64_t number_;
   handlers handlers_;
+  /// The received part of a frame; empty while the link is idle.
   std::string input_;
-  std::size_t input_consumed_ = 0;
   std::vector<std::string> pending_frames_;
   std::vector<std::string> frames_in_write_;
   std::size_t unsent_bytes_ = 0;
@@ -79,6 +83,11 @@
   void check_liveness(time_point now);
   void close();
 
+  /// Port on which it listens; chosen by the system if the endpoint had 0.
+  [[nodiscard]] auto port() const -> std::uint16_t {
+    return acceptor_.local_endpoint().port();
+  }
+
  private:
   void accept();
 
@@ -89,6 +98,19 @@
   std::vector<std::weak_ptr<link_session>> sessions_;
 };
 
+/// The link that a message takes.
+enum class link_kind : std::uint8_t { small, large };
+
+/// When a dialer opens the links for large messages.
+enum class large_link_use : std::uint8_t {
+  /// With the first large message, which takes the small link itself. Most
+  /// peers of a node never get one.
+  on_demand,
+  /// Together with the small links, so that no large message ever delays small
+  /// ones.
+  always,
+};
+
 /// Links that this process opens: to each peer one for small messages and one
 /// for large ones, so that a large body does not delay small messages.
 class link_dialer {
@@ -98,25 +120,25 @@
     /// The link for small messages was opened.
     std::function<void(const vm_address&)> on_connected;
     /// A link was lost, and with it all messages in transit.
-    std::function<void(const vm_address&, bool large)> on_disconnected;
+    std::function<void(const vm_address&, link_kind)> on_disconnected;
   };
 
   /// Links are opened from the IP address `ip`, by which firewalls and peers
   /// identify the process.
-  link_dialer(event_loop& loop, std::string ip, handlers to);
+  link_dialer(event_loop& loop, std::string ip, large_link_use use,
+              handlers to);
 
   /// Keeps links to these peers open and closes links to others.
   void set_peers(const std::vector<vm_address>& peers);
 
-  /// Returns false, without sending, if no link is open.
-  auto send(const vm_address& to, const fleet_message& message) -> bool;
+  /// Returns the link that the message takes; `std::nullopt`, without sending,
+  /// if none is open.
+  auto send(const vm_address& to, const fleet_message& message)
+      -> std::optional<link_kind>;
 
   /// Sends to all peers with an open link for small messages.
   void broadcast(const fleet_message& message);
 
-  /// True if a message of this size takes the link for large messages.
-  static auto is_large(std::size_t bytes) -> bool;
-
   /// True if the link for small messages is open and the peer responds.
   [[nodiscard]] auto is_reachable(const vm_address& peer) const -> bool;
 
@@ -135,13 +157,15 @@
   };
   struct link_key {
     vm_address address;
-    bool large = false;
+    link_kind kind = link_kind::small;
 
     friend auto operator<(const link_key& a, const link_key& b) -> bool {
-      return std::tie(a.address, a.large) < std::tie(b.address, b.large);
+      return std::tie(a.address, a.kind) < std::tie(b.address, b.kind);
     }
   };
 
+  [[nodiscard]] auto open_session(const link_key& to) const
+      -> std::shared_ptr<link_session>;
   void connect(const link_key& to, peer_state& x, time_point now);
   void on_opened(const link_key& to,
                  const std::shared_ptr<tcp::socket>& socket);
@@ -149,6 +173,7 @@
 
   event_loop& loop_;
   std::string ip_;
+  large_link_use large_link_use_;
   handlers handlers_;
   std::map<link_key, peer_state> peers_;
   std::uint64_t last_session_number_ = 0;
