Send statuses each second to two control members, and rarely to the others

Cause: each node sent its status each second to every member, and each answered: bytes and processor time of a member grow with nodes times members. When the member of a domain was lost, all its nodes turned to the same other one. Change: a node sends its status each second to the member of its domain and to the next one in an order of its own (rendezvous hashing), and each 10 s to the others; changes still go to all at once. It asks all each second while it has no configuration, while fewer than two answer, or while those two know no leader. A status names its interval, from which members derive its lease. Result: 24 statuses in 10 s of a node with six members, 60 before.

--- a/include/figwind/fleet_directory.h
+++ b/include/figwind/fleet_directory.h
@@ -15,9 +15,11 @@
 namespace figwind {
 
 struct node_directory_options {
-  /// Time without a status after which a node is silent: three statuses at an
-  /// interval of 1 s, plus half an interval for delays.
-  duration lease = milliseconds(3500);
+  /// Time without a status after which a node is silent, in intervals between
+  /// its statuses: three, plus half of one for delays.
+  double lease_intervals = 3.5;
+  duration min_status_interval = seconds(1);
+  duration max_status_interval = minutes(1);
   /// Time after which a silent node is removed.
   duration silent_retention = minutes(10);
 };
@@ -30,8 +32,11 @@
   node_directory(std::uint64_t epoch, node_directory_options options)
       : epoch_{epoch}, options_{options} {}
 
-  /// Applies a report of a node; returns true if the directory changed.
-  auto apply(const node_report& report, time_point now) -> bool;
+  /// Applies a status of a node; returns true if the directory changed.
+  auto apply(const node_status& status, time_point now) -> bool;
+
+  /// Time for which the status is valid.
+  [[nodiscard]] auto lease_of(const node_status& status) const -> duration;
 
   /// Marks nodes as silent; returns true if there are new ones.
   auto expire(time_point now) -> bool;
@@ -50,6 +55,7 @@
   struct entry {
     directory_entry published;
     time_point last_report_time;
+    duration lease;
     std::uint64_t change = 0;
   };
 
--- a/include/figwind/fleet_messages.h
+++ b/include/figwind/fleet_messages.h
@@ -35,9 +35,11 @@
 /// True if `a` supersedes `b`, a report of the same node.
 auto is_newer(const node_report& a, const node_report& b) -> bool;
 
-/// Node to control member: sent every second, and at once after a change.
+/// Node to control member: sent at once after a change, and after `interval`.
 struct node_status {
   node_report report;
+  /// Time until the next status to this member if nothing changes.
+  duration interval;
   /// Version of the configuration text that the node holds; 0 for none.
   config_version version;
   /// True if the member should send the text of a newer configuration.
@@ -160,8 +162,8 @@
 }
 template <class Inspector>
 auto inspect(Inspector& f, node_status& x) {
-  return f(x.report, x.version, x.wants_config, x.wants_directory, x.epoch,
-           x.cursor);
+  return f(x.report, x.interval, x.version, x.wants_config, x.wants_directory,
+           x.epoch, x.cursor);
 }
 template <class Inspector>
 auto inspect(Inspector& f, directory_entry& x) {
--- a/include/figwind/fleet_subscriber.h
+++ b/include/figwind/fleet_subscriber.h
@@ -19,10 +19,15 @@
   vm_address self;
   failure_domain domain;
   incarnation start;
+  /// Time between two statuses to the home member and to the next one in the
+  /// node's order, which takes over from it.
   duration status_interval = seconds(1);
-  /// Time without a reply after which a member is silent; one lost status is
-  /// enough.
-  duration member_timeout = milliseconds(1500);
+  /// The same to all other members. They hear of changes at once, so that this
+  /// only renews what they know.
+  duration background_interval = seconds(10);
+  /// Time without a reply, beyond the interval, after which a member is silent;
+  /// one lost status is enough.
+  duration reply_timeout = milliseconds(500);
   /// Delay before the node requests a newer configuration from the member that
   /// has it; the home member should have sent the configuration by then.
   duration config_request_delay = milliseconds(150);
@@ -83,11 +88,20 @@
   }
 
  private:
+  static constexpr auto never = time_point{-1e18};
+
   struct tracked_member {
     bool seed = false;
     bool has_answered = false;
+    /// True if the last reply came from a member in touch with a leader.
+    bool has_leader = false;
     time_point last_answer;
-    time_point next_status;
+    time_point last_status = never;
+    /// Time between the last status and the next one.
+    duration interval;
+    /// Rank in the order in which this node uses members; differs from node to
+    /// node, so that they do not all turn to the same member.
+    std::uint64_t rank = 0;
     failure_domain domain;
     std::uint64_t epoch = 0;
     std::uint64_t cursor = 0;
@@ -100,7 +114,14 @@
 
   [[nodiscard]] auto is_reachable(const tracked_member& x, time_point now) const
       -> bool;
-  [[nodiscard]] auto home_member(time_point now) const -> const tracked_member*;
+  /// Returns the reachable members, those of the own failure domain first.
+  [[nodiscard]] auto reachable_members(time_point now) const
+      -> std::vector<const tracked_member*>;
+  /// Returns the members to which statuses go each `status_interval`, the home
+  /// member first; empty if to all.
+  [[nodiscard]] auto frequent_members(time_point now) const
+      -> std::vector<const tracked_member*>;
+  auto add_member(const vm_address& address) -> tracked_member&;
   void update_members(const member_update& update);
   auto restore_text(const member_update& update) -> bool;
 
--- a/src/decisions/fleet_directory.cc
+++ b/src/decisions/fleet_directory.cc
@@ -1,5 +1,6 @@
 #include "figwind/fleet_directory.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace figwind {
@@ -9,13 +10,21 @@
   return a.sequence > b.sequence;
 }
 
-auto node_directory::apply(const node_report& report, time_point now) -> bool {
+auto node_directory::lease_of(const node_status& status) const -> duration {
+  return std::clamp(status.interval, options_.min_status_interval,
+                    options_.max_status_interval) *
+         options_.lease_intervals;
+}
+
+auto node_directory::apply(const node_status& status, time_point now) -> bool {
+  const auto& report = status.report;
   if (report.sequence == 0) return false;
   auto [found, added] = entries_.try_emplace(report.node.address);
   auto& x = found->second;
   auto is_old = !added && is_newer(x.published.report, report);
   if (is_old) return false;
   x.last_report_time = now;
+  x.lease = lease_of(status);
   auto changed =
       added || x.published.silent || is_newer(report, x.published.report);
   if (!changed) return false;
@@ -33,7 +42,7 @@
       it = entries_.erase(it);
       continue;
     }
-    if (!x.published.silent && age > options_.lease) {
+    if (!x.published.silent && age > x.lease) {
       x.published.silent = true;
       x.change = ++last_change_;
       changed = true;
--- a/src/decisions/fleet_member.cc
+++ b/src/decisions/fleet_member.cc
@@ -394,7 +394,7 @@
   was_current_ = current;
   for (auto at = nodes_.begin(); at != nodes_.end();) {
     auto& node = at->second;
-    if (now - node.last_status > options_.directory.lease) {
+    if (now - node.last_status > directory_.lease_of(node.status)) {
       at = nodes_.erase(at);
       continue;
     }
@@ -412,7 +412,7 @@
 
 void fleet_member::handle(const node_status& m, time_point now,
                           member_output& out) {
-  directory_.apply(m.report, now);
+  directory_.apply(m, now);
   auto& node = nodes_[m.report.node.address];
   node.status = m;
   node.last_status = now;
--- a/src/decisions/fleet_subscriber.cc
+++ b/src/decisions/fleet_subscriber.cc
@@ -1,5 +1,7 @@
 #include "figwind/fleet_subscriber.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -19,7 +21,20 @@
 
 void fleet_subscriber::set_seeds(std::vector<vm_address> seeds) {
   for (auto& [address, x] : members_) x.seed = false;
-  for (auto& seed : seeds) members_[std::move(seed)].seed = true;
+  for (const auto& seed : seeds) add_member(seed).seed = true;
+}
+
+auto fleet_subscriber::add_member(const vm_address& address)
+    -> tracked_member& {
+  auto [at, added] = members_.try_emplace(address);
+  if (added) {
+    const auto& self = options_.self.value;
+    at->second.rank =
+        XXH3_64bits_withSeed(address.value.data(), address.value.size(),
+                             XXH3_64bits(self.data(), self.size()));
+    at->second.interval = options_.status_interval;
+  }
+  return at->second;
 }
 
 auto fleet_subscriber::members() const -> std::vector<vm_address> {
@@ -30,7 +45,8 @@
 
 auto fleet_subscriber::is_reachable(const tracked_member& x,
                                     time_point now) const -> bool {
-  return x.has_answered && now - x.last_answer < options_.member_timeout;
+  return x.has_answered &&
+         now - x.last_answer < x.interval + options_.reply_timeout;
 }
 
 auto fleet_subscriber::reachable_member_count(time_point now) const
@@ -40,32 +56,56 @@
       [&](const auto& x) { return is_reachable(x.second, now); }));
 }
 
-auto fleet_subscriber::home_member(time_point now) const
-    -> const tracked_member* {
-  const tracked_member* best = nullptr;
+auto fleet_subscriber::reachable_members(time_point now) const
+    -> std::vector<const tracked_member*> {
+  auto out = std::vector<const tracked_member*>{};
   for (const auto& [address, x] : members_) {
-    if (!is_reachable(x, now)) continue;
-    const auto is_local = x.domain == options_.domain;
-    if (best == nullptr || (is_local && best->domain != options_.domain)) {
-      best = &x;
-    }
+    if (is_reachable(x, now)) out.push_back(&x);
   }
-  return best;
+  const auto order = [&](const tracked_member* x) {
+    return std::pair{x->domain != options_.domain, x->rank};
+  };
+  std::sort(out.begin(), out.end(),
+            [&](const auto* a, const auto* b) { return order(a) < order(b); });
+  return out;
+}
+
+auto fleet_subscriber::frequent_members(time_point now) const
+    -> std::vector<const tracked_member*> {
+  // One more than needed: the second one takes over from the first.
+  constexpr auto count = std::size_t{2};
+  auto out = reachable_members(now);
+  if (version_.value == 0 || out.size() < count) return {};
+  out.resize(count);
+  const auto any_current = std::any_of(
+      out.begin(), out.end(), [](const auto* x) { return x->has_leader; });
+  // Both may be cut off from the others; these know of later changes.
+  if (!any_current) return {};
+  return out;
 }
 
 auto fleet_subscriber::on_tick(time_point now)
     -> std::vector<outgoing<node_status>> {
   auto out = std::vector<outgoing<node_status>>{};
-  const auto* home = home_member(now);
+  const auto frequent = frequent_members(now);
+  const auto reachable = reachable_members(now);
+  const auto* home = reachable.empty() ? nullptr : reachable.front();
   for (auto& [address, x] : members_) {
+    const auto is_frequent =
+        frequent.empty() ||
+        std::find(frequent.begin(), frequent.end(), &x) != frequent.end();
+    const auto interval =
+        is_frequent ? options_.status_interval : options_.background_interval;
     const auto config_overdue =
         x.newer_version_since &&
         now - *x.newer_version_since > options_.config_request_delay;
-    if (now < x.next_status && !config_overdue) continue;
-    x.next_status = now + options_.status_interval;
+    if (now - x.last_status < interval && !config_overdue) continue;
+    x.last_status = now;
+    x.interval = interval;
     if (config_overdue) x.newer_version_since = now;
     auto status = node_status{};
     status.report = report_;
+    status.interval = interval;
     status.version = needs_whole_text_ ? config_version{} : version_;
     const auto takes_updates =
         home == nullptr || home == &x || version_.value == 0;
@@ -80,14 +120,14 @@
 
 void fleet_subscriber::on_reachable(const vm_address& member) {
   const auto found = members_.find(member);
-  if (found != members_.end()) found->second.next_status = time_point{-1e18};
+  if (found != members_.end()) found->second.last_status = never;
 }
 
 void fleet_subscriber::update_members(const member_update& update) {
   auto listed =
       std::set<vm_address>{update.members.begin(), update.members.end()};
   listed.insert(update.member);
-  for (const auto& address : listed) members_.try_emplace(address);
+  for (const auto& address : listed) add_member(address);
   if (!update.has_leader) return;
   std::erase_if(members_, [&](const auto& x) {
     return !x.second.seed && listed.count(x.first) == 0;
@@ -109,8 +149,9 @@
                                  time_point now) -> update_effect {
   auto out = update_effect{};
   update_members(update);
-  auto& x = members_[update.member];
+  auto& x = members_.at(update.member);
   x.has_answered = true;
+  x.has_leader = update.has_leader;
   x.last_answer = now;
   x.domain = update.domain;
   x.acknowledged_sequence = update.report_sequence;
@@ -118,7 +159,7 @@
   if (update.known_start > report_.node.start) {
     // The clock of the VM was set back since the last start.
     report_.node.start = {update.known_start.value + 1};
-    for (auto& [address, m] : members_) m.next_status = now;
+    for (auto& [address, m] : members_) m.last_status = never;
     out.incarnation_raised = true;
   }
   // A cursor is valid only if entries were requested.
@@ -144,7 +185,7 @@
   if (!may_apply) return out;
   if (!restore_text(update)) {
     out.config_refused = true;
-    x.next_status = now;
+    x.last_status = never;
     return out;
   }
   version_ = update.version;
@@ -160,7 +201,7 @@
   report_.accepts_work = accepts_work;
   report_.server = server.value_or(announcement{});
   ++report_.sequence;
-  for (auto& [address, x] : members_) x.next_status = time_point{-1e18};
+  for (auto& [address, x] : members_) x.last_status = never;
   return report_.sequence;
 }
 
