Cancel a call on the link that it was sent on

Cause: a server node knows a call by its link. Requests of 16 KiB or more take the link for large messages, but the notice that their caller has left took the small one, so the server node did not find the call: it stayed in the queue or ran on at the backend server. Change: the notice takes the link of the call. Result: fleet_on_loopback.cancels_large_requests_whose_caller_has_left failed for each request after the first one (no cancellation within 60 s), and passes.

--- a/src/adapters/fleet_node_entry.cc
+++ b/src/adapters/fleet_node_entry.cc
@@ -135,12 +135,12 @@
   kept.exchange->on_disconnect([this, number, id = kept.request_id_text,
                                 root = kept.root_request, started = now] {
     caller_requests_.erase(number);
-    sent_calls_.erase(number);
     log_request("caller_left", root, [&] {
       return log_fields{{"request", id}, {"ms", (steady_now() - started).ms}};
     });
     metrics_.count_request("caller_left", "", steady_now() - started);
     execute(calls_.on_caller_gone(number, steady_now()), nullptr);
+    sent_calls_.erase(number);
   });
   execute(actions, nullptr);
 }
@@ -239,12 +239,15 @@
 }
 
 void fleet_node::cancel(const cancel_action& action) {
-  sent_calls_.erase(action.call);
   if (is_self(action.node)) {
     execute(gate_.cancel({local_session, action.call}, steady_now()));
     return;
   }
-  links_.send(action.node, call_cancel{action.call});
+  const auto sent = sent_calls_.find(action.call);
+  if (sent == sent_calls_.end()) return;
+  links_.send_on(sent->second.node, sent->second.link,
+                 call_cancel{action.call});
+  sent_calls_.erase(sent);
 }
 
 void fleet_node::finish_request(const end_action& action,
--- a/src/adapters/peer_link.cc
+++ b/src/adapters/peer_link.cc
@@ -269,6 +269,11 @@
   return link_kind::small;
 }
 
+void link_dialer::send_on(const vm_address& to, link_kind kind,
+                          const fleet_message& message) {
+  if (const auto session = open_session({to, kind})) session->send(message);
+}
+
 void link_dialer::broadcast(const fleet_message& message) {
   const auto frame = encode_frame(message);
   for (const auto& [to, x] : peers_) {
--- a/src/adapters/peer_link.h
+++ b/src/adapters/peer_link.h
@@ -137,6 +137,11 @@
   auto send(const vm_address& to, const fleet_message& message)
       -> std::optional<link_kind>;
 
+  /// Sends on this link, if it is open. For messages about an earlier one, which
+  /// the peer knows by the link that it came on.
+  void send_on(const vm_address& to, link_kind kind,
+               const fleet_message& message);
+
   /// Sends to all peers with an open link for small messages.
   void broadcast(const fleet_message& message);
   /// Sends to `count` of these peers, chosen at random.
--- a/test/adapter-fleet-test.cc
+++ b/test/adapter-fleet-test.cc
@@ -364,3 +364,35 @@
   EXPECT_EQ(put("0", config_text), "200");
   EXPECT_EQ(fleet.read_state(), next);
 }
+
+// Guards against requests that run on although their caller has left: the
+// notice took another link than a large request, whose server did not know it.
+TEST(fleet_on_loopback, cancels_large_requests_whose_caller_has_left) {
+  auto fleet = loopback_fleet{};
+  fleet.begin();
+  auto patient = std::string{config_text};
+  for (const auto& [from, to] :
+       {std::pair{R"("r1")", R"("r3")"}, std::pair{R"("3s")", R"("90s")"}}) {
+    patient.replace(patient.find(from), std::string{from}.size(), to);
+  }
+  ASSERT_EQ(status_of(fleet.put_until_known("r1", patient)), "200");
+  fleet.backend->script = [](const std::string&) { return std::string{}; };
+  const auto body = std::string(20000, 'x');
+  for (auto i = 0; i < 3; ++i) {
+    section("request " + std::to_string(i), [&] {
+      const auto requests = fleet.backend->requests;
+      const auto closed = fleet.backend->closed_by_peer;
+      auto caller = fleet.open_call(
+          "GET /read/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: large-" +
+          std::to_string(i) +
+          "\r\nX-Deadline-Ms: 90000\r\nContent-Length: 20000\r\n\r\n" + body);
+      fleet.run_until([&] { return fleet.backend->requests > requests; });
+      caller.close();
+      EXPECT_TRUE(fleet.run_until(
+          [&] { return fleet.backend->closed_by_peer > closed; }));
+      // The first large request has the link for the next ones opened.
+      auto turns = 0;
+      fleet.run_until([&] { return ++turns > 40; });
+    });
+  }
+}
--- a/test/loopback-fleet.h
+++ b/test/loopback-fleet.h
@@ -83,6 +83,8 @@
   std::string late;
   int late_writes = 0;
   int requests = 0;
+  /// Connections that the peer closed.
+  int closed_by_peer = 0;
   /// Number of connections so far, and number of the one with the last request.
   int connections = 0;
   int last_connection = 0;
@@ -109,7 +111,10 @@
     asio::async_read_until(
         x->socket, x->input, "\r\n\r\n",
         [this, x](boost::system::error_code error, std::size_t size) {
-          if (error) return;
+          if (error) {
+            ++closed_by_peer;
+            return;
+          }
           const auto data = x->input.data();
           const auto head = std::string{
               asio::buffers_begin(data),
@@ -261,6 +266,14 @@
   auto address(int vm, int port) const -> vm_address {
     return address_at(ip(vm), static_cast<std::uint16_t>(port));
   }
+  /// Sends raw bytes to the call port of the first node.
+  auto open_call(const std::string& bytes) -> tcp::socket {
+    auto socket = tcp::socket{loop_};
+    socket.connect(*parse_endpoint(address(4, http_port_)));
+    asio::write(socket, asio::buffer(bytes));
+    return socket;
+  }
+
   /// Sends raw bytes to the call port of the first node; `done` is called with
   /// the response, unless the fleet is destroyed before.
   void call_in_background(const std::string& bytes,
