Take the directory of the fleet from one member only

Cause: a node that started asked every member for the whole directory, and each sent it: at 306 machines 6 times 306 entries to each of 306 nodes. Change: only the member that the node uses sends the directory; the first reply decides which, and a better one replaces it. Result: new test; it fails on the code before.

--- a/include/figwind/fleet_subscriber.h
+++ b/include/figwind/fleet_subscriber.h
@@ -128,6 +128,8 @@
   subscriber_options options_;
   node_report report_;
   std::map<vm_address, tracked_member> members_;
+  /// The member that sends the directory; empty before the first reply.
+  vm_address home_;
   config_version version_;
   /// Text of `version_`.
   std::string text_;
--- a/src/decisions/fleet_subscriber.cc
+++ b/src/decisions/fleet_subscriber.cc
@@ -99,7 +99,12 @@
     const auto config_overdue =
         x.newer_version_since &&
         now - *x.newer_version_since > options_.config_request_delay;
-    if (now - x.last_status < interval && !config_overdue) continue;
+    const auto is_home = &x == home;
+    const auto is_new_home = is_home && address != home_;
+    if (is_home) home_ = address;
+    if (now - x.last_status < interval && !config_overdue && !is_new_home) {
+      continue;
+    }
     x.last_status = now;
     x.interval = interval;
     if (config_overdue) x.newer_version_since = now;
@@ -107,10 +112,10 @@
     status.report = report_;
     status.interval = interval;
     status.version = needs_whole_text_ ? config_version{} : version_;
-    const auto takes_updates =
-        home == nullptr || home == &x || version_.value == 0;
-    status.wants_config = takes_updates || config_overdue;
-    status.wants_directory = takes_updates;
+    status.wants_config =
+        home == nullptr || is_home || version_.value == 0 || config_overdue;
+    // The directory grows with the fleet, so only one member sends it.
+    status.wants_directory = is_home;
     status.epoch = x.epoch;
     status.cursor = x.cursor;
     out.push_back({address, std::move(status)});
--- a/test/fleet-subscriber-test.cc
+++ b/test/fleet-subscriber-test.cc
@@ -137,6 +137,7 @@
       for (const auto& x : subscriber->on_tick(now)) {
         const auto i = index_of(x.to);
         ++counts[i];
+        directory_requests[i] += x.message.wants_directory ? 1 : 0;
         if (silent.count(i) != 0) continue;
         const auto is_isolated = isolated.count(i) != 0;
         auto update =
@@ -163,6 +164,7 @@
 
   time_point now;
   fleet_view view;
+  std::vector<int> directory_requests = std::vector<int>(6);
   std::uint64_t version = 1;
   std::set<std::size_t> silent;
   /// Members without contact to a leader.
@@ -205,6 +207,26 @@
   });
 }
 
+// Guards against a start at which each node gets the directory of the fleet
+// from each member, which grows with the square of the fleet.
+TEST(fleet_subscriber, takes_the_directory_from_one_member) {
+  auto x = subscribed_node{};
+  EXPECT_EQ(
+      std::count(x.directory_requests.begin(), x.directory_requests.end(), 0),
+      5);
+  EXPECT_GT(x.directory_requests[0], 0);
+  section("and from the next one while that is silent", [&] {
+    x.silent = {0};
+    x.run_for(seconds(2));
+    x.directory_requests = std::vector<int>(6);
+    x.run_for(seconds(2));
+    EXPECT_EQ(
+        std::count(x.directory_requests.begin(), x.directory_requests.end(), 0),
+        5);
+    EXPECT_EQ(x.directory_requests[0], 0);
+  });
+}
+
 // Guards against a node that keeps an old configuration because the members
 // that it hears each second are cut off from the others.
 TEST(fleet_subscriber, asks_all_members_if_its_own_are_isolated) {
