--- a/test/adapter-fleet-test.cc
+++ b/test/adapter-fleet-test.cc
@@ -372,7 +372,8 @@
   fleet.begin();
   auto patient = std::string{config_text};
   for (const auto& [from, to] :
-       {std::pair{R"("r1")", R"("r3")"}, std::pair{R"("3s")", R"("90s")"}}) {
+       {std::pair{R"("r1")", R"("r3")"}, std::pair{R"("3s")", R"("90s")"},
+        std::pair{":1000,", ":100000,"}}) {
     patient.replace(patient.find(from), std::string{from}.size(), to);
   }
   ASSERT_EQ(status_of(fleet.put_until_known("r1", patient)), "200");
@@ -386,7 +387,8 @@
           "GET /read/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: large-" +
           std::to_string(i) +
           "\r\nX-Deadline-Ms: 90000\r\nContent-Length: 20000\r\n\r\n" + body);
-      fleet.run_until([&] { return fleet.backend->requests > requests; });
+      ASSERT_TRUE(
+          fleet.run_until([&] { return fleet.backend->requests > requests; }));
       caller.close();
       EXPECT_TRUE(fleet.run_until(
           [&] { return fleet.backend->closed_by_peer > closed; }));
