--- a/include/figwind/fleet_subscriber.h
+++ b/include/figwind/fleet_subscriber.h
@@ -51,8 +51,8 @@
 
 class fleet_subscriber {
  public:
-  fleet_subscriber(subscriber_options options, std::vector<vm_address> seeds,
-                   time_point now);
+  fleet_subscriber(subscriber_options options,
+                   const std::vector<vm_address>& seeds, time_point now);
 
   /// Returns the status messages that are due.
   auto on_tick(time_point now) -> std::vector<outgoing<node_status>>;
@@ -72,7 +72,7 @@
   auto report(const std::optional<announcement>& server, bool accepts_work)
       -> std::uint64_t;
 
-  void set_seeds(std::vector<vm_address> seeds);
+  void set_seeds(const std::vector<vm_address>& seeds);
 
   /// Number of members that hold the report `sequence` or a later one.
   [[nodiscard]] auto acknowledgement_count(std::uint64_t sequence) const
--- a/src/adapters/peer_link.h
+++ b/src/adapters/peer_link.h
@@ -137,8 +137,8 @@
   auto send(const vm_address& to, const fleet_message& message)
       -> std::optional<link_kind>;
 
-  /// Sends on this link, if it is open. For messages about an earlier one, which
-  /// the peer knows by the link that it came on.
+  /// Sends on this link, if it is open. For messages about an earlier one,
+  /// which the peer knows by the link that it came on.
   void send_on(const vm_address& to, link_kind kind,
                const fleet_message& message);
 
--- a/src/decisions/fleet_subscriber.cc
+++ b/src/decisions/fleet_subscriber.cc
@@ -11,15 +11,15 @@
 namespace figwind {
 
 fleet_subscriber::fleet_subscriber(subscriber_options options,
-                                   std::vector<vm_address> seeds,
+                                   const std::vector<vm_address>& seeds,
                                    time_point now)
     : options_{std::move(options)}, started_{now} {
   report_.node = {options_.self, options_.start};
   report_.domain = options_.domain;
-  set_seeds(std::move(seeds));
+  set_seeds(seeds);
 }
 
-void fleet_subscriber::set_seeds(std::vector<vm_address> seeds) {
+void fleet_subscriber::set_seeds(const std::vector<vm_address>& seeds) {
   for (auto& [address, x] : members_) x.seed = false;
   for (const auto& seed : seeds) add_member(seed).seed = true;
 }
