Refuse requests without a Content-Length at figwindd

Cause: the reader of cpp-httplib 0.11 ends a chunked body without an error at a line that does not end with CRLF, so a call or a change that broke off behind the data of a chunk was carried out with the part that had arrived. Change: calls, runs, announcements and operators' changes with a chunked body are answered 411 and not handled. figwind and the nodes send lengths. The platform's processes use Boost.Beast and are not concerned.

--- a/src/adapters/call_server.cc
+++ b/src/adapters/call_server.cc
@@ -11,6 +11,7 @@
 #include "adapters/burn_json.h"
 #include "adapters/call_headers.h"
 #include "adapters/clock.h"
+#include "adapters/content_length.h"
 #include "adapters/log.h"
 #include "adapters/thread_pool.h"
 #include "figwind/parse.h"
@@ -133,13 +134,15 @@
   server_.set_keep_alive_max_count(keep_alive_count);
   server_.set_keep_alive_timeout(keep_alive_seconds);
   server_.set_payload_max_length(max_body_size);
-  server_.Post(R"(/v1/call/([\w-]+))",
-               [this](const auto& in, auto& out) { serve_call(in, out); });
-  server_.Post(R"(/v1/run/([\w-]+))",
-               [this](const auto& in, auto& out) { serve_run(in, out); });
-  server_.Post("/v1/announce", [this](const auto& in, auto& out) {
-    serve_announcement(in, out);
-  });
+  const auto post = [this](const char* path, auto action) {
+    server_.Post(path, with_content_length(std::move(action)));
+  };
+  post(R"(/v1/call/([\w-]+))",
+       [this](const auto& in, auto& out) { serve_call(in, out); });
+  post(R"(/v1/run/([\w-]+))",
+       [this](const auto& in, auto& out) { serve_run(in, out); });
+  post("/v1/announce",
+       [this](const auto& in, auto& out) { serve_announcement(in, out); });
   server_.Get("/v1/burn", [this](const httplib::Request&, auto& out) {
     auto body = burn_body{};
     body.set.nodes[node_.status().self] = node_.burn();
--- a/src/adapters/operator_server.cc
+++ b/src/adapters/operator_server.cc
@@ -10,6 +10,7 @@
 #include "adapters/burn_json.h"
 #include "adapters/call_headers.h"
 #include "adapters/clock.h"
+#include "adapters/content_length.h"
 #include "adapters/findings_json.h"
 #include "adapters/log.h"
 #include "adapters/operator_json.h"
@@ -98,18 +99,18 @@
   server_.Get("/healthz", [](const request&, response& out) {
     out.set_content("alive", "text/plain");
   });
-  server_.Post("/v1/config", [this](const request& in, response& out) {
-    if (authorized(in, out)) change_config(in, out);
-  });
-  server_.Post("/v1/members/replace", [this](const request& in, response& out) {
-    if (authorized(in, out)) replace_member(in, out);
-  });
-  server_.Post("/v1/drain", [this](const request& in, response& out) {
-    if (authorized(in, out)) drain(out);
-  });
-  server_.Post("/v1/undrain", [this](const request& in, response& out) {
-    if (authorized(in, out)) undrain(out);
-  });
+  const auto post = [this](const char* path, auto action) {
+    server_.Post(path, with_content_length(
+                           [this, action](const request& in, response& out) {
+                             if (authorized(in, out)) action(in, out);
+                           }));
+  };
+  post("/v1/config",
+       [this](const request& in, response& out) { change_config(in, out); });
+  post("/v1/members/replace",
+       [this](const request& in, response& out) { replace_member(in, out); });
+  post("/v1/drain", [this](const request&, response& out) { drain(out); });
+  post("/v1/undrain", [this](const request&, response& out) { undrain(out); });
 }
 
 auto operator_server::authorized(const httplib::Request& in,
