Mark updates that carry the directory

The members' first updates carry the node's own earlier report, and the node took any entries for the whole directory: after a restart it knew no other nodes and refused requests for lack of a server, until the member restarted. Change: an update says whether its entries are all changes since the node's cursor. Result: fleet_member.sends_a_restarted_node_the_whole_directory failed (1 of 5 nodes) and passes.

--- a/include/figwind/fleet_messages.h
+++ b/include/figwind/fleet_messages.h
@@ -78,6 +78,9 @@
   /// Differs for each start of the member; cursors are valid within one epoch.
   std::uint64_t epoch = 0;
   std::uint64_t cursor = 0;
+  /// True if `entries` has all changes since the cursor of the node's status.
+  /// Otherwise it has at most the report of the node's earlier incarnation.
+  bool has_directory = false;
   std::vector<directory_entry> entries;
 };
 
@@ -173,7 +176,7 @@
 auto inspect(Inspector& f, member_update& x) {
   return f(x.member, x.domain, x.has_leader, x.version, x.config_base, x.config,
            x.members, x.report_sequence, x.known_start, x.epoch, x.cursor,
-           x.entries);
+           x.has_directory, x.entries);
 }
 template <class Inspector>
 auto inspect(Inspector& f, call_request& x) {
--- a/src/decisions/fleet_member.cc
+++ b/src/decisions/fleet_member.cc
@@ -361,6 +361,7 @@
   }
   out.epoch = directory_.epoch();
   if (status.wants_directory) {
+    out.has_directory = true;
     out.entries = directory_.changes(status.epoch, status.cursor);
     status.epoch = directory_.epoch();
     status.cursor = directory_.cursor();
--- a/src/decisions/fleet_subscriber.cc
+++ b/src/decisions/fleet_subscriber.cc
@@ -167,13 +167,9 @@
     for (auto& [address, m] : members_) m.last_status = never;
     out.incarnation_raised = true;
   }
-  // A cursor is valid only if entries were requested.
-  if (x.epoch != update.epoch || !update.entries.empty()) {
-    const auto complete = !update.entries.empty() || update.cursor == 0;
-    if (complete) {
-      x.epoch = update.epoch;
-      x.cursor = update.cursor;
-    }
+  if (update.has_directory) {
+    x.epoch = update.epoch;
+    x.cursor = update.cursor;
   }
   out.directory_changed = view.apply(update);
   x.version = update.version;
--- a/test/fleet-member-test.cc
+++ b/test/fleet-member-test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "figwind/fleet_settings.h"
+#include "figwind/fleet_subscriber.h"
 #include "figwind/text_patch.h"
 #include "fleet-cluster.h"
 #include "section.h"
@@ -287,6 +288,43 @@
   EXPECT_TRUE(value(text) == large + "more");
 }
 
+// Guards against a node that restarts and never hears of the other nodes: the
+// members first return its own report, which it took for the whole directory.
+TEST(fleet_member, sends_a_restarted_node_the_whole_directory) {
+  constexpr auto nodes = 5;
+  auto x = formed(8);
+  ASSERT_EQ(x.commit_change(0, 1, "state"), desired_status::done);
+  const auto address = [](int i) {
+    return vm_address{"10.0.1." + std::to_string(i) + ":7000"};
+  };
+  for (auto member = 1; member <= 3; ++member) {
+    for (auto i = 1; i <= nodes; ++i) {
+      auto status = node_status{};
+      status.report.node = {address(i), {1}};
+      status.report.sequence = 1;
+      x.send_status(member, status);
+    }
+  }
+  x.take_updates();
+  auto options = subscriber_options{};
+  options.self = address(1);
+  options.start = {2};
+  auto members = std::vector<vm_address>{};
+  for (auto i = 1; i <= 3; ++i) members.push_back(fleet_cluster::address(i));
+  auto restarted = fleet_subscriber{options, members, x.now()};
+  auto view = fleet_view{};
+  for (auto step = 0; step < 50; ++step) {
+    for (const auto& due : restarted.on_tick(x.now())) {
+      const auto at = std::find(members.begin(), members.end(), due.to);
+      x.send_status(static_cast<int>(at - members.begin()) + 1, due.message);
+    }
+    x.run(milliseconds(10));
+    for (const auto& update : x.take_updates())
+      restarted.on_update(update, view, x.now());
+  }
+  EXPECT_EQ(view.size(), nodes);
+}
+
 // Guards against a member that misses its heartbeats because it sends a large
 // state to all nodes at once.
 TEST(fleet_member, spreads_a_large_state_over_time) {
