Wait until a change is in force before a test relies on it

A change is acknowledged once members have it; the nodes put it in force some milliseconds later. The rule of the configuration (in force within 2 s) is kept. Change: put_in_force waits for the version in the metrics of all nodes. The test of silent servers, which changes a timeout, takes it as well. No check is changed.

--- a/test/adapter-faulty-server-test.cc
+++ b/test/adapter-faulty-server-test.cc
@@ -278,7 +278,7 @@
        at = patient.find("\"3s\"")) {
     patient.replace(at, 4, "\"90s\"");
   }
-  ASSERT_EQ(status_of(fleet.put_until_known("r1", patient)), "200");
+  ASSERT_EQ(status_of(fleet.put_in_force("r1", patient)), "200");
   fleet.backend->script = [](const std::string& id) {
     return id.find("silent") == 0 ? "" : complete(id);
   };
--- a/test/adapter-fleet-test.cc
+++ b/test/adapter-fleet-test.cc
@@ -376,7 +376,7 @@
         std::pair{":1000,", ":100000,"}}) {
     patient.replace(patient.find(from), std::string{from}.size(), to);
   }
-  ASSERT_EQ(status_of(fleet.put_until_known("r1", patient)), "200");
+  ASSERT_EQ(status_of(fleet.put_in_force("r1", patient)), "200");
   fleet.backend->script = [](const std::string&) { return std::string{}; };
   const auto body = std::string(20000, 'x');
   for (auto i = 0; i < 3; ++i) {
--- a/test/loopback-fleet.h
+++ b/test/loopback-fleet.h
@@ -353,6 +353,23 @@
     return answer;
   }
 
+  /// Sends a change and waits until it is in force at all nodes, which is some
+  /// time after its acknowledgement. Returns the response, empty if it does not
+  /// come into force.
+  auto put_in_force(const std::string& base, const std::string& text)
+      -> std::string {
+    auto before = std::vector<std::string>{};
+    for (const auto& node : nodes_) before.push_back(version_in_force(*node));
+    auto answer = put_until_known(base, text);
+    const auto done = run_until([&] {
+      for (std::size_t i = 0; i < nodes_.size(); ++i) {
+        if (version_in_force(*nodes_[i]) == before[i]) return false;
+      }
+      return true;
+    });
+    return done ? answer : std::string{};
+  }
+
   /// Reads the desired state from the members until one leads.
   auto read_state() -> std::string {
     auto answer = std::string{};
@@ -391,6 +408,14 @@
     return input.size() >= head + 4 + std::stoul(input.substr(at + 16));
   }
 
+  /// The version that a node states in its metrics.
+  static auto version_in_force(fleet_node& node) -> std::string {
+    const auto name = std::string{"\nfigwind_config_version "};
+    const auto text = node.metrics_text();
+    const auto at = text.find(name) + name.size();
+    return text.substr(at, text.find('\n', at) - at);
+  }
+
   auto ip(int vm) const -> std::string { return net_ + std::to_string(vm); }
 
   auto settings_of(int vm) -> fleet_settings {
