Close the soak's sockets before a started process opens its log

A forked child that waits in open() of its log still holds the listening sockets of the stand-in servers, which the soak closes and opens again. Change: the child closes them first.

--- a/test/soak-fleet.h
+++ b/test/soak-fleet.h
@@ -4,6 +4,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -73,6 +74,11 @@
     const auto log = (folder_ / "log").string();
     pid_ = fork();
     if (pid_ != 0) return;
+    // Nothing of the soak's own is left open in the program. A listening socket
+    // that waited for the disk here would keep its address in use.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
+    // The program ends with the soak, also if that fails.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     const auto out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(out, STDOUT_FILENO);
     dup2(out, STDERR_FILENO);
@@ -81,8 +87,7 @@
       setrlimit(RLIMIT_FSIZE, &limit);
       ::signal(SIGXFSZ, SIG_IGN);
     }
-    // Nothing of the soak's own is left open in the program.
-    close_range(STDERR_FILENO + 1, ~0U, 0);
+    close(out);
     auto arguments =
         std::array<char*, 3>{const_cast<char*>(program.c_str()),
                              const_cast<char*>(role.c_str()), nullptr};
