Count the time in which the VM is suspended in deadlines and leases

Cause: steady_now read CLOCK_MONOTONIC, which stands still while a VM is suspended (the users' machines may be, for seconds). Change: steady_now reads CLOCK_BOOTTIME.

--- a/src/adapters/clock.h
+++ b/src/adapters/clock.h
@@ -2,6 +2,8 @@
 
 #pragma once
 
+#include <time.h>
+
 #include <chrono>
 
 #include "figwind/units.h"
@@ -19,9 +21,16 @@
 
 }  // namespace detail
 
-/// Monotonic time since an arbitrary start, for deadlines and periods.
+/// Monotonic time since an arbitrary start, for deadlines and periods. Counts
+/// the time in which the VM is suspended: callers, leases and other processes
+/// do not wait for it. `std::chrono::steady_clock` stands still meanwhile.
 inline auto steady_now() -> time_point {
-  return detail::read_clock<std::chrono::steady_clock>();
+  constexpr auto ms_per_second = 1e3;
+  constexpr auto ns_per_ms = 1e6;
+  auto now = timespec{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return {static_cast<double>(now.tv_sec) * ms_per_second +
+          static_cast<double>(now.tv_nsec) / ns_per_ms};
 }
 
 /// Unix time, for creation times of keys.
--- a/test/soak.cc
+++ b/test/soak.cc
@@ -34,6 +34,7 @@
   explicit soak(std::uint64_t seed)
       : random_{seed},
         answer_random_{~seed},
+        stop_random_{seed ^ 0x5bd1e995U},
         folder_{FLAGS_folder},
         quiet_{steady_now()} {
     const auto zones = std::array<std::string, 3>{"a", "b", "c"};
@@ -163,6 +164,9 @@
     if (random_.chance(0.08)) any_node().signal(SIGTERM);
     if (random_.chance(0.05)) any_process().signal(SIGHUP);
     if (random_.chance(0.05)) replace_backend();
+    if (stop_random_.chance(0.04)) {
+      processes_[stop_random_.index(member_count)]->signal(SIGTERM);
+    }
     // At first there is planned work only, so that it is judged alone.
     const auto faulty =
         steady_now() - acting_since_ > seconds(FLAGS_seconds) * 0.4;
@@ -332,6 +336,7 @@
   random_source random_;
   /// Choices added later, so that a seed keeps its order of events.
   random_source answer_random_;
+  random_source stop_random_;
   std::filesystem::path folder_;
   event_loop loop_;
   network_faults network_;
