Test requests that arrive in parts or on many connections while a server stops

A request cut at each byte, its rest sent after the stop has begun, on accepted connections and on those that wait; ten connections in a row.

--- a/test/adapter-http-server-test.cc
+++ b/test/adapter-http-server-test.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "adapters/clock.h"
 #include "section.h"
@@ -43,11 +44,22 @@
     run();
   }
 
-  static void send(tcp::socket& socket) {
-    asio::write(socket, asio::buffer(std::string{
-                            "GET /x HTTP/1.1\r\nHost: a.example\r\n\r\n"}));
+  static void send(tcp::socket& socket) { write(socket, request); }
+
+  static void write(tcp::socket& socket, const std::string& bytes) {
+    asio::write(socket, asio::buffer(bytes));
+  }
+
+  /// Begins to shut the server down; returns true if all connections have
+  /// ended.
+  auto begin_shutdown() -> bool {
+    server_.disable_keep_alive();
+    return server_.shutdown();
   }
 
+  /// Lets the server handle what has arrived.
+  void take_turn() { run(); }
+
   /// Shuts the server down and returns true once all connections have ended.
   auto run_until_closed() -> bool {
     server_.disable_keep_alive();
@@ -63,6 +75,9 @@
     return error == asio::error::eof ? out : "reset: " + error.message();
   }
 
+  static inline const auto request =
+      std::string{"GET /x HTTP/1.1\r\nHost: a.example\r\n\r\n"};
+
  private:
   void run() {
     loop_.run_for(std::chrono::milliseconds{2});
@@ -95,6 +110,39 @@
     EXPECT_TRUE(server.run_until_closed());
     EXPECT_EQ(stopping_server::read_all(caller).substr(0, 12), "HTTP/1.1 200");
   });
+  section("in two parts, with the stop between them", [] {
+    for (std::size_t cut = 1; cut < stopping_server::request.size(); ++cut) {
+      for (const auto is_accepted : {true, false}) {
+        auto server = stopping_server{};
+        auto caller = server.connect();
+        if (is_accepted) server.take_turn();
+        stopping_server::write(caller, stopping_server::request.substr(0, cut));
+        if (is_accepted) server.take_turn();
+        EXPECT_FALSE(server.begin_shutdown());
+        server.take_turn();
+        stopping_server::write(caller, stopping_server::request.substr(cut));
+        EXPECT_TRUE(server.run_until_closed());
+        EXPECT_EQ(stopping_server::read_all(caller).substr(0, 12),
+                  "HTTP/1.1 200")
+            << "after " << cut << " bytes, accepted: " << is_accepted;
+      }
+    }
+  });
+  section("on each of many connections, one after the other", [] {
+    constexpr auto callers = 10;
+    auto server = stopping_server{};
+    auto all = std::vector<tcp::socket>{};
+    for (auto i = 0; i < callers; ++i) {
+      all.push_back(server.connect());
+      if (i % 2 == 0) server.use(all.back());
+      stopping_server::send(all.back());
+    }
+    EXPECT_TRUE(server.run_until_closed());
+    for (auto& caller : all) {
+      EXPECT_EQ(stopping_server::read_all(caller).substr(0, 12),
+                "HTTP/1.1 200");
+    }
+  });
   section("connections without a request end", [] {
     auto server = stopping_server{};
     auto kept = server.connect();
