--- a/test/fleet-cluster.h
+++ b/test/fleet-cluster.h
@@ -64,6 +64,11 @@
     members_.at(number).files.reset();
   }
 
+  /// Stops the process as SIGSTOP does: it handles nothing, and what is sent to
+  /// it waits.
+  void pause(int number) { paused_.insert(number); }
+  void resume(int number) { paused_.erase(number); }
+
   void remove(int number) { members_.erase(number); }
 
   void disconnect(int a, int b) {
@@ -85,9 +90,11 @@
     return done();
   }
 
+  /// The member that leads; 0 if there is none that runs.
   auto leader() -> int {
     for (auto& [number, x] : members_) {
-      if (x.core && x.core->is_leader()) return number;
+      const auto runs = x.core && paused_.count(number) == 0;
+      if (runs && x.core->is_leader()) return number;
     }
     return 0;
   }
@@ -220,11 +227,16 @@
       const auto to = members_.find(x.to);
       const auto lost = disconnected_.count({x.from, x.to}) != 0;
       if (lost || to == members_.end() || !to->second.core) continue;
+      if (paused_.count(x.to) != 0) {
+        in_flight_.emplace(now_.ms + tick_period.ms, std::move(x));
+        continue;
+      }
       apply_output(x.to, to->second.core->on_message(x.message, now_));
     }
     open_links();
     for (auto& [number, x] : members_) {
-      if (x.core) apply_output(number, x.core->tick(now_));
+      const auto runs = x.core && paused_.count(number) == 0;
+      if (runs) apply_output(number, x.core->tick(now_));
     }
   }
 
@@ -288,6 +300,7 @@
   std::map<int, member_process> members_;
   std::multimap<double, message_in_flight> in_flight_;
   std::set<std::pair<int, int>> disconnected_;
+  std::set<int> paused_;
   duration link_delay_;
   /// Times at which links are open, by the numbers of their ends.
   std::map<std::pair<int, int>, time_point> links_;
--- a/test/fleet-member-test.cc
+++ b/test/fleet-member-test.cc
@@ -110,6 +110,52 @@
   EXPECT_EQ(x.read_state().current.text, "b");
 }
 
+// Guards against a leader that was paused, at any moment of a change, and acts
+// on its leadership when it goes on although it has run out.
+TEST(fleet_member, paused_leader_acts_on_no_leadership_that_ran_out) {
+  constexpr auto moments = 12;
+  constexpr auto tick = milliseconds(10);
+  for (auto moment = 0; moment < moments; ++moment) {
+    for (const auto pause : {milliseconds(300), seconds(1), seconds(5)}) {
+      section(
+          "paused for " + std::to_string(pause.ms) + " ms, " +
+              std::to_string(moment) + " ticks after a change",
+          [&] {
+            auto x = formed(static_cast<std::uint64_t>(moment) + 40);
+            ASSERT_EQ(x.commit_change(0, 1, "a"), desired_status::done);
+            ASSERT_TRUE(x.run_until([&] { return x.voters() == 4; }));
+            const auto old = x.leader();
+            const auto first = x.change(old, 1, 2, "b");
+            x.run(tick * moment);
+            x.pause(old);
+            x.run(pause);
+            const auto replaced = x.leader() != 0;
+            const auto base = replaced ? x.read_state().current.label.value : 0;
+            if (replaced) {
+              ASSERT_EQ(x.commit_change(base, 9, "c"), desired_status::done);
+            }
+            // It has not heard of its successor yet.
+            x.resume(old);
+            const auto read = x.read(old);
+            const auto change = x.change(old, base, 7, "rival");
+            const auto seen = x.await_reply(old, read);
+            const auto rival = x.await_reply(old, change);
+            if (replaced) {
+              EXPECT_TRUE(seen.status == desired_status::unknown ||
+                          seen.current.label.value == 9);
+              EXPECT_NE(rival.status, desired_status::done);
+            }
+            x.await_reply(old, first);
+            const auto end = x.read_state().current.label.value;
+            if (replaced) {
+              EXPECT_EQ(end, 9U);
+            }
+            EXPECT_NE(end, 7U);
+          });
+    }
+  }
+}
+
 // Guards against changes and reads that were just accepted and are cut off by a
 // planned stop, and against two members that both act while one hands over.
 TEST(fleet_member, completes_what_it_accepted_before_it_hands_over) {
