Forget queued calls whose callers have left

Cause: when a call was cancelled while it waited for a slot, the gate dropped it but the server node kept its entry, with the request, for good. A stopping node waits for all entries, so under load it stopped only at the end of its grace period, and its backend server got no work meanwhile. Change: the gate returns such calls, and the node erases them. New metric figwind_held: calls at the server node without a reply. Result: fleet_on_loopback.forgets_queued_calls_whose_callers_have_left fails before (three calls stay) and passes.

--- a/include/figwind/server_gate.h
+++ b/include/figwind/server_gate.h
@@ -42,6 +42,8 @@
   /// Running calls whose answer is no longer needed; to be aborted if they may
   /// be retried.
   std::vector<gate_call> abandon;
+  /// Calls that were cancelled before they ran; nobody waits for a reply.
+  std::vector<gate_call> withdrawn = {};
 };
 
 class server_gate {
--- a/src/adapters/fleet_metrics.cc
+++ b/src/adapters/fleet_metrics.cc
@@ -59,6 +59,8 @@
       gauge(registry, "figwind_config_version", "Configuration in force.");
   prometheus::Gauge& in_flight = gauge(registry, "figwind_in_flight",
                                        "Calls that run on the backend server.");
+  prometheus::Gauge& held = gauge(registry, "figwind_held",
+                                  "Calls at the server node without a reply.");
   prometheus::Gauge& queued =
       gauge(registry, "figwind_queued", "Calls that wait for a slot.");
   prometheus::Gauge& ready =
@@ -103,8 +105,9 @@
   families_->current_version.Set(version);
 }
 
-void fleet_metrics::set_in_flight(double running, double queued) {
+void fleet_metrics::set_in_flight(double running, double queued, double held) {
   families_->in_flight.Set(running);
+  families_->held.Set(held);
   families_->queued.Set(queued);
 }
 
--- a/src/adapters/fleet_metrics.h
+++ b/src/adapters/fleet_metrics.h
@@ -32,7 +32,7 @@
   void count_operation(const std::string& kind, const std::string& status);
 
   void set_config_version(double version);
-  void set_in_flight(double running, double queued);
+  void set_in_flight(double running, double queued, double held);
   void set_ready(bool ready);
   void set_leading(bool leading);
 
--- a/src/adapters/fleet_node.cc
+++ b/src/adapters/fleet_node.cc
@@ -151,7 +151,8 @@
 
 auto fleet_node::metrics_text() -> std::string {
   metrics_.set_config_version(static_cast<double>(version_in_force_.value));
-  metrics_.set_in_flight(gate_.in_flight(), gate_.queued());
+  metrics_.set_in_flight(gate_.in_flight(), gate_.queued(),
+                         static_cast<double>(server_calls_.size()));
   metrics_.set_ready(is_ready());
   return metrics_.text();
 }
--- a/src/adapters/fleet_node_server.cc
+++ b/src/adapters/fleet_node_server.cc
@@ -92,6 +92,7 @@
                                 steady_now() - found->second.arrived_at);
     send_reply(x.call, std::move(out));
   }
+  for (const auto& x : actions.withdrawn) server_calls_.erase(x);
   for (const auto& x : actions.start) start_call(x);
   for (const auto& x : actions.abandon) {
     const auto found = server_calls_.find(x);
--- a/src/decisions/server_gate.cc
+++ b/src/decisions/server_gate.cc
@@ -131,6 +131,7 @@
   queue_->withdraw(found->second.ticket, now);
   by_ticket_.erase(found->second.ticket.value);
   calls_.erase(found);
+  out.withdrawn.push_back(which);
   return out;
 }
 
--- a/test/adapter-fleet-test.cc
+++ b/test/adapter-fleet-test.cc
@@ -393,6 +393,34 @@
   EXPECT_EQ(status_of(fleet.put_until_known("r1", next)), "200");
 }
 
+// Guards against calls that are kept for good because their callers left while
+// they were queued: they hold memory, and a stop waits for them until the end
+// of its grace period, while the backend server gets no work.
+TEST(fleet_on_loopback, forgets_queued_calls_whose_callers_have_left) {
+  auto fleet = loopback_fleet{};
+  fleet.begin();
+  // The server has ten slots, of which nine are used.
+  constexpr auto running = 9;
+  constexpr auto callers = running + 3;
+  fleet.backend->script = [](const std::string&) { return std::string{}; };
+  const auto before = fleet.backend->requests;
+  auto all = std::vector<tcp::socket>{};
+  for (auto i = 0; i < callers; ++i) {
+    all.push_back(fleet.open_call(
+        "GET /read/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: q" +
+        std::to_string(i) + "\r\nX-Deadline-Ms: 2000\r\n\r\n"));
+  }
+  ASSERT_TRUE(fleet.run_until(
+      [&] { return fleet.backend->requests == before + running; }));
+  // The others wait for a slot.
+  for (auto i = running; i < callers; ++i) {
+    all[static_cast<std::size_t>(i)].close();
+  }
+  EXPECT_TRUE(fleet.run_until([&] { return fleet.held_calls() == running; }));
+  for (auto& caller : all) caller.close();
+  EXPECT_TRUE(fleet.run_until([&] { return fleet.held_calls() == 0; }));
+}
+
 // Guards against requests that run on although their caller has left: the
 // notice took another link than a large request, whose server did not know it.
 TEST(fleet_on_loopback, cancels_large_requests_whose_caller_has_left) {
--- a/test/loopback-fleet.h
+++ b/test/loopback-fleet.h
@@ -398,6 +398,11 @@
     return 0;
   }
 
+  /// Calls at the node of the backend server that have no reply yet.
+  auto held_calls() -> int {
+    return std::stoi(metric(*nodes_.back(), "figwind_held"));
+  }
+
   /// Reads the desired state from the members until one leads.
   auto read_state() -> std::string {
     auto answer = std::string{};
@@ -436,11 +441,15 @@
     return input.size() >= head + 4 + std::stoul(input.substr(at + 16));
   }
 
-  /// The version that a node states in its metrics.
   static auto version_in_force(fleet_node& node) -> std::string {
-    const auto name = std::string{"\nfigwind_config_version "};
+    return metric(node, "figwind_config_version");
+  }
+
+  /// The value of a metric without labels, as text.
+  static auto metric(fleet_node& node, const std::string& name) -> std::string {
+    const auto start = "\n" + name + " ";
     const auto text = node.metrics_text();
-    const auto at = text.find(name) + name.size();
+    const auto at = text.find(start) + start.size();
     return text.substr(at, text.find('\n', at) - at);
   }
 
--- a/test/server-gate-test.cc
+++ b/test/server-gate-test.cc
@@ -118,7 +118,10 @@
   gate.set_server(server(announced_state::serving, 1), {0});
   gate.submit({1, 1}, call(), {0});
   gate.submit({1, 2}, call(), {0});
-  EXPECT_TRUE(gate.cancel({1, 2}, {1}).abandon.empty());
+  const auto withdrawn = gate.cancel({1, 2}, {1});
+  EXPECT_TRUE(withdrawn.abandon.empty());
+  ASSERT_EQ(withdrawn.withdrawn.size(), 1U);
+  EXPECT_EQ(withdrawn.withdrawn.front().call, 2U);
   EXPECT_EQ(gate.queued(), 0);
   EXPECT_EQ(gate.cancel({1, 1}, {2}).abandon.size(), 1U);
   EXPECT_EQ(gate.in_flight(), 1);
