Test hand-overs of leadership under seeded faults

40 seeds with lost, doubled and overtaken messages, isolated members and kills around each resignation; the cluster of the tests checks for two leaders of one term, lost commits and answers that differ.

--- a/test/consensus-test.cc
+++ b/test/consensus-test.cc
@@ -143,6 +143,46 @@
   }
 }
 
+// Guards against two leaders of one term and against lost changes when leaders
+// hand over while messages are lost, doubled and overtaken, links are cut and
+// members are killed.
+TEST(consensus, hand_overs_uphold_the_guarantees_under_faults) {
+  constexpr auto seeds = std::uint64_t{40};
+  constexpr auto rounds = std::uint64_t{15};
+  for (auto seed = std::uint64_t{1}; seed <= seeds; ++seed) {
+    section("seed " + std::to_string(seed), [&] {
+      auto network = simulated_network{};
+      network.jitter = milliseconds(30);
+      network.loss_rate = 0.03;
+      network.duplication_rate = 0.1;
+      auto random = random_source{seed};
+      checked_cluster c{3 + seed % 3, seed, network};
+      ASSERT_TRUE(commit_changes(c, 1, 1));
+      for (auto round = std::uint64_t{0}; round < rounds; ++round) {
+        ASSERT_TRUE(c.await_leader());
+        auto& old = *c.leader();
+        const auto base = old.state_machine.current().version.value;
+        c.submit_change(old, make_change(100 + round, base));
+        if (random.chance(0.3)) {
+          auto other = c.processes().begin();
+          std::advance(other, random.index(c.processes().size()));
+          c.isolate(other->first);
+        }
+        c.run_until(milliseconds(50 + 400 * random.uniform()), [&] {
+          c.apply_output(old, old.replica->resign());
+          return old.replica->role() != member_role::leader;
+        });
+        if (random.chance(0.5)) c.run_for(milliseconds(200 * random.uniform()));
+        c.heal();
+        c.crash(old.id);
+        c.run_for(milliseconds(300 * random.uniform()));
+        c.start(old.id);
+      }
+      ASSERT_TRUE(commit_changes(c, 500, 2)) << c.describe();
+    });
+  }
+}
+
 // Guards against a leader that gives up its role although no other member can
 // take over.
 TEST(consensus, leader_without_a_successor_does_not_resign) {
