--- a/review/stand-ins/fleet.h
+++ b/review/stand-ins/fleet.h
@@ -442,6 +442,9 @@
 
   [[nodiscard]] auto id() const -> const std::string& { return id_; }
 
+  /// Least size of the bodies of answers. Before `start`.
+  void set_answer_bytes(std::size_t size) { answer_bytes_ = size; }
+
   /// Called when the head of a request has arrived. Before `start`.
   void on_head(run_handler handler) { on_head_ = std::move(handler); }
 
@@ -534,7 +537,8 @@
     }
     on_run_(id_, request);
     sleep_ms(work_ms_);
-    const auto body = "done " + id + "\n";
+    auto body = "done " + id + "\n";
+    body.resize(std::max(body.size(), answer_bytes_), '.');
     return "HTTP/1.1 200 OK\r\n" + echo + "X-Response-Signature: " + id_ + "." +
            id + "\r\nKeep-Alive: timeout=10\r\nContent-Length: " +
            std::to_string(body.size()) + "\r\n\r\n" + body;
@@ -580,6 +584,7 @@
   run_handler on_run_;
   run_handler on_head_;
   double work_ms_;
+  std::size_t answer_bytes_ = 0;
   std::atomic<double> bytes_per_ms_{0};
   long long born_ms_;
   std::mutex mutex_;
