--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# A departure at a node that has just been restarted; see claim.txt.
+cd "$(dirname "$0")/../.."
+exec build-review/early-departure review/5/record.txt
--- a/review/stand-ins/fleet.h
+++ b/review/stand-ins/fleet.h
@@ -275,13 +275,15 @@
   int control = 0;
   int link = 0;
   int server = 0;
+  /// Where control members take links from their proxies.
+  int behind_proxy = 0;
 };
 
 /// Finds ports that are free at the addresses `prefix`1 to `prefix``count`.
 inline auto find_ports(const std::string& prefix, int count) -> ports {
   auto random = std::mt19937{std::random_device{}()};
   auto found = std::vector<int>{};
-  while (found.size() < 5) {
+  while (found.size() < 6) {
     const auto port = 20000 + static_cast<int>(random() % 9000);
     auto is_free = std::find(found.begin(), found.end(), port) == found.end();
     for (auto i = 1; i <= count && is_free; ++i) {
@@ -289,7 +291,7 @@
     }
     if (is_free) found.push_back(port);
   }
-  return {found[0], found[1], found[2], found[3], found[4]};
+  return {found[0], found[1], found[2], found[3], found[4], found[5]};
 }
 
 /// One machine with one program of the deploy file.
@@ -345,6 +347,9 @@
     _exit(127);
   }
 
+  /// Links to this machine pass through a proxy. Before `start`.
+  void use_proxy() { is_proxied_ = true; }
+
   void signal(int number) const {
     if (pid_ > 0) ::kill(pid_, number);
   }
@@ -403,6 +408,11 @@
         text.replace(i, key.size(), value);
       }
     }
+    if (is_proxied_) {
+      const auto line =
+          "link-listen-port = " + std::to_string(ports_.behind_proxy) + "\n";
+      text.insert(text.find("metrics-port"), line);
+    }
     std::ofstream{folder_ + "/boot.ini"} << text;
   }
 
@@ -413,9 +423,85 @@
   ports ports_;
   std::string seeds_;
   std::string folder_;
+  bool is_proxied_ = false;
   pid_t pid_ = 0;
 };
 
+/// A proxy in front of the links of a control member. Holds all bytes of the
+/// machines that are cut off from it.
+class link_proxy {
+ public:
+  using cut_test = std::function<bool(const std::string& ip)>;
+
+  link_proxy(const std::string& ip, const ports& all, cut_test is_cut)
+      : ip_{ip},
+        ports_{all},
+        is_cut_{std::move(is_cut)},
+        listener_{listen_at(ip, all.link)},
+        acceptor_{[this] { accept(); }} {}
+  ~link_proxy() {
+    ends_ = true;
+    acceptor_.join();
+    while (open_ > 0) sleep_ms(5);
+  }
+  link_proxy(const link_proxy&) = delete;
+  auto operator=(const link_proxy&) -> link_proxy& = delete;
+
+ private:
+  void accept() {
+    while (!ends_) {
+      auto wait = pollfd{listener_.fd(), POLLIN, 0};
+      if (::poll(&wait, 1, 20) != 1) continue;
+      auto from = sockaddr_in{};
+      auto size = socklen_t{sizeof from};
+      const auto fd =
+          ::accept4(listener_.fd(), reinterpret_cast<sockaddr*>(&from), &size,
+                    SOCK_CLOEXEC);
+      if (fd < 0) continue;
+      auto text = std::array<char, INET_ADDRSTRLEN>{};
+      inet_ntop(AF_INET, &from.sin_addr, text.data(), text.size());
+      ++open_;
+      std::thread{[this, fd, peer = std::string{text.data()}] {
+        forward(owned_socket{fd}, peer);
+        --open_;
+      }}.detach();
+    }
+  }
+
+  void forward(const owned_socket& front, const std::string& peer) {
+    while (!ends_ && is_cut_(peer)) sleep_ms(2);
+    const auto back = connect_to(ip_, ports_.behind_proxy, 1000);
+    if (!back.is_open()) return;
+    set_no_delay(front.fd());
+    auto bytes = std::array<char, 65536>{};
+    while (!ends_) {
+      if (is_cut_(peer)) {
+        sleep_ms(2);
+        continue;
+      }
+      auto wait = std::array<pollfd, 2>{pollfd{front.fd(), POLLIN, 0},
+                                        pollfd{back.fd(), POLLIN, 0}};
+      if (::poll(wait.data(), wait.size(), 5) <= 0) continue;
+      for (auto i = 0; i < 2; ++i) {
+        if (wait.at(i).revents == 0) continue;
+        const auto from = i == 0 ? front.fd() : back.fd();
+        const auto to = i == 0 ? back.fd() : front.fd();
+        const auto n = ::recv(from, bytes.data(), bytes.size(), 0);
+        if (n <= 0) return;
+        if (!send_all(to, {bytes.data(), static_cast<std::size_t>(n)})) return;
+      }
+    }
+  }
+
+  std::string ip_;
+  ports ports_;
+  cut_test is_cut_;
+  owned_socket listener_;
+  std::atomic<bool> ends_{false};
+  std::atomic<int> open_{0};
+  std::thread acceptor_;
+};
+
 // ---------------------------------------------------------------- servers
 
 /// A backend server. Runs each request once it is complete, for `work_ms`, and
