--- a/review/stand-ins/early-departure.cc
+++ b/review/stand-ins/early-departure.cc
@@ -101,7 +101,13 @@
   to.line("the cut is healed");
   const auto healed = now_ms();
   leaving.join();
-  if (acknowledged == 0) return 2;
+  if (acknowledged == 0) {
+    ends = true;
+    for (auto& x : callers) x.join();
+    fleet.machines.clear();
+    std::puts("the departure was not acknowledged");
+    return 2;
+  }
   sleep_ms(acknowledged + serves_on_ms - now_ms());
   servers[0]->end();
   to.line("i-0 ended");
--- a/review/stand-ins/late-ping.cc
+++ b/review/stand-ins/late-ping.cc
@@ -88,7 +88,12 @@
   sleep_ms(5000);
   const auto ping = servers[0]->last_ping();
   const auto acknowledged = servers[0]->depart(300, 3000);
-  if (acknowledged == 0) return 2;
+  if (acknowledged == 0) {
+    ends = true;
+    for (auto& x : threads) x.join();
+    std::puts("the departure was not acknowledged");
+    return 2;
+  }
   to.line("departure of i-0 acknowledged");
   sleep_ms(300);
   auto restarted = acknowledged;
