--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# A late ping after many processes were killed; see claim.txt.
+# A planned stop beside requests that take long; see claim.txt.
 cd "$(dirname "$0")/../.." || exit 2
-[[ -x build-review/late-ping && -x target/figwind-platform ]] || exit 2
-exec build-review/late-ping review/3/record.txt
+[[ -x build-review/stop-slow && -x target/figwind-platform ]] || exit 2
+exec build-review/stop-slow review/3/record.txt
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# A departure at a node that has just been restarted; see claim.txt.
+# A late ping after many processes were killed; see claim.txt.
 cd "$(dirname "$0")/../.." || exit 2
-[[ -x build-review/early-departure && -x target/figwind-platform ]] || exit 2
-exec build-review/early-departure review/5/record.txt
+[[ -x build-review/late-ping && -x target/figwind-platform ]] || exit 2
+exec build-review/late-ping review/5/record.txt
--- a/review/stand-ins/fleet.h
+++ b/review/stand-ins/fleet.h
@@ -275,15 +275,13 @@
   int control = 0;
   int link = 0;
   int server = 0;
-  /// Where control members take links from their proxies.
-  int behind_proxy = 0;
 };
 
 /// Finds ports that are free at the addresses `prefix`1 to `prefix``count`.
 inline auto find_ports(const std::string& prefix, int count) -> ports {
   auto random = std::mt19937{std::random_device{}()};
   auto found = std::vector<int>{};
-  while (found.size() < 6) {
+  while (found.size() < 5) {
     const auto port = 20000 + static_cast<int>(random() % 9000);
     auto is_free = std::find(found.begin(), found.end(), port) == found.end();
     for (auto i = 1; i <= count && is_free; ++i) {
@@ -291,7 +289,7 @@
     }
     if (is_free) found.push_back(port);
   }
-  return {found[0], found[1], found[2], found[3], found[4], found[5]};
+  return {found[0], found[1], found[2], found[3], found[4]};
 }
 
 /// One machine with one program of the deploy file.
@@ -347,9 +345,6 @@
     _exit(127);
   }
 
-  /// Links to this machine pass through a proxy. Before `start`.
-  void use_proxy() { is_proxied_ = true; }
-
   void signal(int number) const {
     if (pid_ > 0) ::kill(pid_, number);
   }
@@ -408,11 +403,6 @@
         text.replace(i, key.size(), value);
       }
     }
-    if (is_proxied_) {
-      const auto line =
-          "link-listen-port = " + std::to_string(ports_.behind_proxy) + "\n";
-      text.insert(text.find("metrics-port"), line);
-    }
     std::ofstream{folder_ + "/boot.ini"} << text;
   }
 
@@ -423,85 +413,9 @@
   ports ports_;
   std::string seeds_;
   std::string folder_;
-  bool is_proxied_ = false;
   pid_t pid_ = 0;
 };
 
-/// A proxy in front of the links of a control member. Holds all bytes of the
-/// machines that are cut off from it.
-class link_proxy {
- public:
-  using cut_test = std::function<bool(const std::string& ip)>;
-
-  link_proxy(const std::string& ip, const ports& all, cut_test is_cut)
-      : ip_{ip},
-        ports_{all},
-        is_cut_{std::move(is_cut)},
-        listener_{listen_at(ip, all.link)},
-        acceptor_{[this] { accept(); }} {}
-  ~link_proxy() {
-    ends_ = true;
-    acceptor_.join();
-    while (open_ > 0) sleep_ms(5);
-  }
-  link_proxy(const link_proxy&) = delete;
-  auto operator=(const link_proxy&) -> link_proxy& = delete;
-
- private:
-  void accept() {
-    while (!ends_) {
-      auto wait = pollfd{listener_.fd(), POLLIN, 0};
-      if (::poll(&wait, 1, 20) != 1) continue;
-      auto from = sockaddr_in{};
-      auto size = socklen_t{sizeof from};
-      const auto fd =
-          ::accept4(listener_.fd(), reinterpret_cast<sockaddr*>(&from), &size,
-                    SOCK_CLOEXEC);
-      if (fd < 0) continue;
-      auto text = std::array<char, INET_ADDRSTRLEN>{};
-      inet_ntop(AF_INET, &from.sin_addr, text.data(), text.size());
-      ++open_;
-      std::thread{[this, fd, peer = std::string{text.data()}] {
-        forward(owned_socket{fd}, peer);
-        --open_;
-      }}.detach();
-    }
-  }
-
-  void forward(const owned_socket& front, const std::string& peer) {
-    while (!ends_ && is_cut_(peer)) sleep_ms(2);
-    const auto back = connect_to(ip_, ports_.behind_proxy, 1000);
-    if (!back.is_open()) return;
-    set_no_delay(front.fd());
-    auto bytes = std::array<char, 65536>{};
-    while (!ends_) {
-      if (is_cut_(peer)) {
-        sleep_ms(2);
-        continue;
-      }
-      auto wait = std::array<pollfd, 2>{pollfd{front.fd(), POLLIN, 0},
-                                        pollfd{back.fd(), POLLIN, 0}};
-      if (::poll(wait.data(), wait.size(), 5) <= 0) continue;
-      for (auto i = 0; i < 2; ++i) {
-        if (wait.at(i).revents == 0) continue;
-        const auto from = i == 0 ? front.fd() : back.fd();
-        const auto to = i == 0 ? back.fd() : front.fd();
-        const auto n = ::recv(from, bytes.data(), bytes.size(), 0);
-        if (n <= 0) return;
-        if (!send_all(to, {bytes.data(), static_cast<std::size_t>(n)})) return;
-      }
-    }
-  }
-
-  std::string ip_;
-  ports ports_;
-  cut_test is_cut_;
-  owned_socket listener_;
-  std::atomic<bool> ends_{false};
-  std::atomic<int> open_{0};
-  std::thread acceptor_;
-};
-
 // ---------------------------------------------------------------- servers
 
 /// A backend server. Runs each request once it is complete, for `work_ms`, and
@@ -528,6 +442,10 @@
 
   [[nodiscard]] auto id() const -> const std::string& { return id_; }
 
+  using work_function = std::function<double(const message& request)>;
+  /// Time in ms that a request takes, instead of the constant. Before `start`.
+  void set_work_time(work_function x) { work_time_ = std::move(x); }
+
   /// Least size of the bodies of answers. Before `start`.
   void set_answer_bytes(std::size_t size) { answer_bytes_ = size; }
 
@@ -622,7 +540,7 @@
              "Content-Length: 0\r\n\r\n";
     }
     on_run_(id_, request);
-    sleep_ms(work_ms_);
+    sleep_ms(work_time_ ? work_time_(request) : work_ms_);
     auto body = "done " + id + "\n";
     body.resize(std::max(body.size(), answer_bytes_), '.');
     return "HTTP/1.1 200 OK\r\n" + echo + "X-Response-Signature: " + id_ + "." +
@@ -670,6 +588,7 @@
   run_handler on_run_;
   run_handler on_head_;
   double work_ms_;
+  work_function work_time_;
   std::size_t answer_bytes_ = 0;
   std::atomic<double> bytes_per_ms_{0};
   long long born_ms_;
@@ -712,7 +631,10 @@
 /// A small deployment: three control members and nodes in three zones.
 class deployment {
  public:
-  deployment(int nodes, const std::string& service) : folder_{make_folder()} {
+  /// `of_first` is the service of the first node, if it has another one.
+  deployment(int nodes, const std::string& service,
+             const std::string& of_first = {})
+      : folder_{make_folder()} {
     auto random = std::mt19937{std::random_device{}()};
     prefix_ = "127." + std::to_string(20 + random() % 200) + "." +
               std::to_string(1 + random() % 250) + ".";
@@ -724,11 +646,13 @@
     }
     for (auto i = 1; i <= members + nodes; ++i) {
       const auto is_node = i > members;
+      const auto is_first = i == members + 1 && !of_first.empty();
+      const auto& of_node = is_first ? of_first : service;
       machines.push_back(std::make_unique<machine>(
           (is_node ? "sidecar-" : "core-") + std::to_string(i),
           prefix_ + std::to_string(i),
           "zone-" + std::string(1, static_cast<char>('a' + (i - 1) % 3)),
-          is_node ? service : "", all, seeds, folder_));
+          is_node ? of_node : "", all, seeds, folder_));
     }
   }
   ~deployment() {
