--- a/review/stand-ins/freeze.cc
+++ b/review/stand-ins/freeze.cc
@@ -9,9 +9,9 @@
 
 constexpr auto service = "contracte";
 constexpr auto nodes = 3;
-constexpr auto burst = 40;
+constexpr auto burst = 60;
 constexpr auto freeze_ms = 2000.0;
-constexpr auto rounds = 7;
+constexpr auto rounds = 10;
 constexpr auto deadline_ms = 6000.0;
 
 struct outcome {
