Ignore replaced timers of backend_client: a sent request ended as not sent

Callers saw one answer, but a request that is not idempotent ran at two servers after a freeze of the node.

Cause: after a pause, the opened connection and the expired timer of the attempt are ready together. The connection's handler restarts the timer and sends the request, but the handler of the old wait is queued already and ended the request as "unreachable", which promises "not run". Fix: each start of the timer has a number, older handlers do nothing.

--- a/src/adapters/backend_client.cc
+++ b/src/adapters/backend_client.cc
@@ -100,14 +100,19 @@
     on_done_ = {};
     finish(backend_outcome::failed, "abandoned");
   }
+  /// Replaces the timer in force. After a pause of the process, the wait of the
+  /// replaced timer may be over already and its handler queued, so that it can
+  /// no longer be cancelled.
 
  private:
   using parser = http::response_parser<http::string_body>;
 
   void start_timer(duration limit, backend_outcome reason) {
     timer_.expires_after(to_chrono(std::max(limit, milliseconds(1))));
-    timer_.async_wait([self = shared_from_this(), reason](error_code error) {
-      if (!error) self->finish(reason, "timed out");
+    timer_.async_wait([self = shared_from_this(), reason,
+                       generation = ++timer_generation_](error_code error) {
+      if (error || generation != self->timer_generation_) return;
+      self->finish(reason, "timed out");
     });
   }
 
@@ -260,6 +265,7 @@
   }
 
   backend_client& owner_;
+  std::uint64_t timer_generation_ = 0;
   backend_request request_;
   response_handler on_done_;
   asio::steady_timer timer_;
