Let the entry node decide about silent servers; a stopping one waits

After a SIGTERM, callers got 502 for requests on which their servers were at work: 24 of 24 requests of 2 s beside ones of 0.1 to 0.28 s.

Cause: lost_answer_detector guesses from the times of other calls, and the server node took the guess for an end: it closed the connection to the server and told the entry node that the call had broken. Fix: the server node says that the server is silent (call_end::silent) and keeps the call. The entry node takes it back and sends it elsewhere as before; once its planned stop has begun, it waits. Replies count only if they come from the node that has the call. The format number of messages changes: one fleet upgrades together.

--- a/include/figwind/fleet_messages.h
+++ b/include/figwind/fleet_messages.h
@@ -133,6 +133,10 @@
   not_run,
   /// The connection to the backend server broke, or its response was invalid.
   broken,
+  /// Not an end yet: the backend server is silent while it answers calls that
+  /// were sent later, so its answer may be lost, or it is still at work. The
+  /// call goes on at the server node until another reply or a `call_cancel`.
+  silent,
 };
 
 /// Server node to entry node.
--- a/include/figwind/lost_answer_detector.h
+++ b/include/figwind/lost_answer_detector.h
@@ -1,6 +1,7 @@
-// Detects calls whose answer will not come although the backend server goes on
-// answering others: the answer was lost, or the server was full and keeps
-// silent instead of refusing.
+// Detects calls whose answer most likely does not come although the backend
+// server goes on answering others: the answer was lost, or the server was full
+// and keeps silent instead of refusing. It is no proof: the server may be at
+// work on a call that takes far longer than others of its class.
 //
 // The limit follows the server: a call counts as lost once it has been silent
 // for a multiple of the slowest recent response of its class, and many calls
--- a/include/figwind/route_calls.h
+++ b/include/figwind/route_calls.h
@@ -136,6 +136,16 @@
 
   auto on_answer(const call_reply& answer, time_point now) -> route_actions;
 
+  /// The backend server of a call is silent while it answers later ones
+  /// (`call_end::silent`). The request is taken back and sent to another
+  /// server, or fails, unless silent servers are waited for.
+  auto on_server_silent(std::uint64_t call, time_point now) -> route_actions;
+
+  /// From now on the requests in progress wait for silent servers. To be called
+  /// when a planned stop begins: a server that is still at work must not lose
+  /// its answer to the stop.
+  void wait_for_silent_servers() { waits_for_silent_servers_ = true; }
+
   /// The link to the node of a call broke. `sent` is false if no byte of the
   /// call was sent, so that it cannot have run.
   auto on_link_lost(std::uint64_t call, bool sent, time_point now)
@@ -243,6 +253,7 @@
   std::map<std::pair<double, std::uint64_t>, int> deadlines_;
   std::map<service_name, std::vector<waiting_call>> waiting_for_server_;
   std::uint64_t last_call_ = 0;
+  bool waits_for_silent_servers_ = false;
 };
 
 }  // namespace figwind
--- a/src/adapters/backend_client.cc
+++ b/src/adapters/backend_client.cc
@@ -60,8 +60,6 @@
       return "unreachable";
     case backend_outcome::timed_out:
       return "late";
-    case backend_outcome::lost:
-      return "lost";
     case backend_outcome::failed:
       break;
   }
--- a/src/adapters/backend_client.h
+++ b/src/adapters/backend_client.h
@@ -42,9 +42,6 @@
   failed,
   /// No response arrived within the timeout.
   timed_out,
-  /// The server answered calls that were sent later, so that no response is
-  /// expected any more.
-  lost,
 };
 
 auto to_string(backend_outcome x) -> std::string;
--- a/src/adapters/fleet_codec.cc
+++ b/src/adapters/fleet_codec.cc
@@ -9,7 +9,7 @@
 namespace {
 
 // Must change with the layout of any message.
-constexpr std::uint8_t format = 5;
+constexpr std::uint8_t format = 6;
 
 }  // namespace
 
--- a/src/adapters/fleet_node.cc
+++ b/src/adapters/fleet_node.cc
@@ -65,11 +65,11 @@
       links_{loop,
              settings.ip,
              large_link_use::on_demand,
-             {[this](const vm_address&, fleet_message m) {
+             {[this](const vm_address& peer, fleet_message m) {
                 if (const auto* update = std::get_if<member_update>(&m)) {
                   on_member_update(*update);
                 } else if (const auto* x = std::get_if<call_reply>(&m)) {
-                  on_call_reply(*x);
+                  on_call_reply(peer, *x);
                 }
               },
               [this](const vm_address& peer) {
@@ -123,7 +123,7 @@
   }
   send_status_messages();
   execute(gate_.tick(now));
-  end_lost_calls(now);
+  report_silent_calls(now);
   const auto& server = announcement_tracker_.current();
   limit_log_.on_tick(server ? server->server.value : "", gate_.rate(), now);
   for (const auto& actions : calls_.on_tick(now)) execute(actions, nullptr);
@@ -177,6 +177,7 @@
   on_stopped_ = std::move(done);
   log_info("stopping",
            {{"calls", calls_.active_calls()}, {"held", server_calls_.size()}});
+  calls_.wait_for_silent_servers();
   caller_server_.disable_keep_alive();
 }
 
--- a/src/adapters/fleet_node.h
+++ b/src/adapters/fleet_node.h
@@ -147,7 +147,8 @@
   void send(const send_action& action);
   void cancel(const cancel_action& action);
   void finish_request(const end_action& action, const call_reply* answer);
-  void on_call_reply(const call_reply& answer);
+  /// Takes a reply of the node `from`; ignored unless the call is at that node.
+  void on_call_reply(const vm_address& from, const call_reply& answer);
   void on_link_lost(const vm_address& peer, link_kind kind);
   void update_servers();
   /// Returns the servers of the service to which this node keeps links.
@@ -162,13 +163,18 @@
   void execute(const gate_actions& actions);
   void start_call(const gate_call& which);
   void finish_call(const gate_call& which, backend_response response);
+  /// Ends a call with this reply.
   void send_reply(const gate_call& which, call_reply x);
+  void pass_reply(const gate_call& which,
+                  const std::weak_ptr<link_session>& session, call_reply x);
   /// An answer of the backend server said that the server leaves.
   void on_server_leaving(const server_notice& notice);
   void add_run_results(call_reply& x, running_call run);
   void cancel_session_calls(std::uint64_t session);
   void on_crash_report(const crash_report& report);
-  void end_lost_calls(time_point now);
+  /// Tells entry nodes of calls that the backend server most likely does not
+  /// answer; they decide whether to go on waiting.
+  void report_silent_calls(time_point now);
   auto make_backend_request(const server_call& x, duration time_left) const
       -> backend_request;
   [[nodiscard]] auto request_id_of(const server_call& x) const -> std::string;
--- a/src/adapters/fleet_node_entry.cc
+++ b/src/adapters/fleet_node_entry.cc
@@ -303,10 +303,18 @@
   call.exchange->respond(std::move(out));
 }
 
-void fleet_node::on_call_reply(const call_reply& answer) {
+void fleet_node::on_call_reply(const vm_address& from,
+                               const call_reply& answer) {
   const auto sent = sent_calls_.find(answer.call);
   const auto node =
       sent == sent_calls_.end() ? self_address_ : sent->second.node;
+  // A reply that was on its way when the call was cancelled and sent to another
+  // node says nothing about that node.
+  if (node != from) return;
+  if (answer.end == call_end::silent) {
+    execute(calls_.on_server_silent(answer.call, steady_now()), nullptr);
+    return;
+  }
   if (sent != sent_calls_.end()) sent_calls_.erase(sent);
   const auto call = caller_requests_.find(answer.call);
   if (call != caller_requests_.end() &&
--- a/src/adapters/fleet_node_server.cc
+++ b/src/adapters/fleet_node_server.cc
@@ -161,18 +161,24 @@
   }
 }
 
-void fleet_node::end_lost_calls(time_point now) {
+void fleet_node::report_silent_calls(time_point now) {
   for (const auto number : lost_answer_detector_.take_lost(now)) {
     const auto found = std::find_if(
         server_calls_.begin(), server_calls_.end(), [&](const auto& x) {
           return x.second.backend_request_number == number;
         });
     if (found == server_calls_.end()) continue;
-    backend_.cancel(number);
-    auto response = backend_response{};
-    response.outcome = backend_outcome::lost;
-    response.error_message = "later calls were answered";
-    finish_call(found->first, std::move(response));
+    const auto& [which, call] = *found;
+    log_request("backend_silent", call.request.chain.root, [&, &call = call] {
+      return log_fields{{"request", request_id_of(call)},
+                        {"route", call.request.name.value},
+                        {"server", call.server.value},
+                        {"ms", (now - call.started_at).ms}};
+    });
+    metrics_.count_backend_call("lost", now - call.started_at);
+    auto out = call_reply{};
+    out.end = call_end::silent;
+    pass_reply(which, call.session, std::move(out));
   }
 }
 
@@ -302,7 +308,7 @@
 void fleet_node::send_reply(const gate_call& which, call_reply x) {
   const auto found = server_calls_.find(which);
   if (found == server_calls_.end()) return;
-  const auto session = found->second.session.lock();
+  const auto session = found->second.session;
   if (found->second.started_at.ms > 0) {
     add_run_results(
         x, running_calls_.end(request_id_of(found->second), is_complete(x)));
@@ -310,12 +316,19 @@
     add_run_results(x, {});
   }
   server_calls_.erase(found);
+  pass_reply(which, session, std::move(x));
+}
+
+void fleet_node::pass_reply(const gate_call& which,
+                            const std::weak_ptr<link_session>& session,
+                            call_reply x) {
   x.call = which.call;
   if (which.peer == local_session) {
     // Posted because `send` of this call may still be running.
-    asio::post(loop_, [this, x = std::move(x)] { on_call_reply(x); });
-  } else if (session) {
-    session->send(x);
+    asio::post(loop_,
+               [this, x = std::move(x)] { on_call_reply(self_address_, x); });
+  } else if (const auto open = session.lock()) {
+    open->send(x);
   }
 }
 
--- a/src/decisions/route_calls.cc
+++ b/src/decisions/route_calls.cc
@@ -332,6 +332,19 @@
   return found == budgets_.end() ? 0 : found->second.used_fraction(now);
 }
 
+auto route_calls::on_server_silent(std::uint64_t call, time_point now)
+    -> route_actions {
+  const auto found = calls_.find(call);
+  if (found == calls_.end() || waits_for_silent_servers_) return {};
+  auto& x = found->second;
+  const auto cancel = cancel_action{call, x.node};
+  balancer_.finish_attempt(std::exchange(x.ticket, 0),
+                           attempt_outcome::other_error, now);
+  auto out = retry_or_fail(call, x, now);
+  out.cancel.push_back(cancel);
+  return out;
+}
+
 auto route_calls::on_link_lost(std::uint64_t call, bool sent, time_point now)
     -> route_actions {
   const auto found = calls_.find(call);
--- a/test/adapter-fleet-test.cc
+++ b/test/adapter-fleet-test.cc
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <future>
+#include <optional>
 
 #include "loopback-fleet.h"
 #include "section.h"
@@ -482,3 +483,33 @@
   }
   EXPECT_TRUE(fleet.run_until([&] { return stopped; }));
 }
+
+// Guards against a planned stop that costs a caller the answer on which its
+// server is at work: a request that takes far longer than the others of its
+// class counted as lost.
+TEST(fleet_on_loopback, waits_for_requests_that_take_long_while_it_stops) {
+  auto fleet = loopback_fleet{};
+  fleet.begin();
+  const auto call_others = [&](const std::string& name, int count) {
+    for (auto i = 0; i < count; ++i) {
+      fleet.call("GET", "/read/x", name + std::to_string(i));
+    }
+  };
+  call_others("before", 200);
+  const auto requests = fleet.backend->requests;
+  fleet.backend->run_time = milliseconds(1200);
+  auto slow = std::optional<std::string>{};
+  fleet.call_in_background(
+      "GET /read/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: slow\r\n"
+      "X-Deadline-Ms: 3000\r\n\r\n",
+      [&](std::string answer) { slow = std::move(answer); });
+  ASSERT_TRUE(
+      fleet.run_until([&] { return fleet.backend->requests > requests; }));
+  fleet.backend->run_time = {};
+  auto stopped = false;
+  fleet.stop_entry_node([&] { stopped = true; });
+  call_others("during", 100);
+  ASSERT_TRUE(fleet.run_until([&] { return slow.has_value(); }));
+  EXPECT_EQ(status_of(*slow), "200") << *slow;
+  EXPECT_TRUE(fleet.run_until([&] { return stopped; }));
+}
--- a/test/route-calls-test.cc
+++ b/test/route-calls-test.cc
@@ -92,6 +92,49 @@
   });
 }
 
+// Guards against callers that wait for their whole deadline for a lost answer,
+// and against answers that are given up during a planned stop.
+TEST(route_calls, decides_whether_to_wait_for_a_silent_server) {
+  section("the request is taken back and sent to another server", [] {
+    auto calls = sample_calls(2);
+    const auto sent = start_call(calls, retry_rule::idempotent);
+    const auto steps = calls.on_server_silent(sent.call, {100});
+    ASSERT_EQ(steps.cancel.size(), 1U);
+    EXPECT_EQ(steps.cancel.front().node, sent.node);
+    ASSERT_TRUE(steps.send);
+    EXPECT_NE(steps.send->node, sent.node);
+  });
+  section("without another attempt it fails at once", [] {
+    auto calls = sample_calls(1);
+    const auto sent = start_call(calls, retry_rule::idempotent);
+    const auto steps = calls.on_server_silent(sent.call, {100});
+    ASSERT_TRUE(steps.end);
+    EXPECT_EQ(steps.end->outcome, route_outcome::failed);
+    EXPECT_EQ(steps.cancel.size(), 1U);
+  });
+  section("during a planned stop its answer is waited for", [] {
+    auto calls = sample_calls(2);
+    const auto sent = start_call(calls, retry_rule::idempotent);
+    calls.wait_for_silent_servers();
+    const auto steps = calls.on_server_silent(sent.call, {100});
+    EXPECT_TRUE(steps.cancel.empty());
+    EXPECT_FALSE(steps.send);
+    EXPECT_FALSE(steps.end);
+    const auto later =
+        calls.on_answer(answer(sent.call, call_end::answered), {200});
+    ASSERT_TRUE(later.end);
+    EXPECT_EQ(later.end->outcome, route_outcome::answered);
+  });
+  section("a request that has ended is ignored", [] {
+    auto calls = sample_calls(2);
+    const auto sent = start_call(calls, retry_rule::idempotent);
+    calls.on_answer(answer(sent.call, call_end::answered), {50});
+    const auto steps = calls.on_server_silent(sent.call, {100});
+    EXPECT_TRUE(steps.cancel.empty());
+    EXPECT_FALSE(steps.send || steps.end);
+  });
+}
+
 // Guards against a false "not run": once a server may have run a request, a
 // later refusal by another server does not prove that it has not run.
 TEST(route_calls, reports_not_run_only_if_nothing_ran) {
