Save drained servers at the control members before a drain is acknowledged

After the control members and the node of a departed server were killed together, a late ping brought the server back: 57 requests reached it after the bound.

Cause: an acknowledgement says that two members hold the drain, and a restarted node asks them for the state before its start, but they held it in memory only. Fix: a member saves the reports of drained servers in one file, beside the event loop, and says that it holds a report only once it is durable. Within one incarnation, a server that has drained stays so at the member, also if its node reports otherwise, and the node is told.

--- a/include/figwind/announcement.h
+++ b/include/figwind/announcement.h
@@ -81,6 +81,12 @@
   auto observe_leaving(const server_name& server, std::int64_t born_ms,
                        time_point now) -> announcement_effect;
 
+  /// A control member knows that the server has drained or left, as `known`
+  /// says. A node that has restarted may not, and may have taken a late
+  /// announcement since.
+  auto learn_drain(const announcement& known, time_point now)
+      -> announcement_effect;
+
   /// The server at the address, also while it drains and after it left; empty
   /// before the first announcement.
   [[nodiscard]] auto current() const -> const std::optional<announcement>& {
--- a/include/figwind/fleet_directory.h
+++ b/include/figwind/fleet_directory.h
@@ -24,17 +24,33 @@
   duration silent_retention = minutes(10);
 };
 
-/// The directory of one control member. It is soft state: after a restart, the
-/// nodes' next statuses rebuild it.
+/// True if the report names a backend server that drains or has left.
+auto is_drained(const node_report& x) -> bool;
+
+/// The directory of one control member. After a restart, the nodes' next
+/// statuses rebuild it, except for what it knows of servers that drain: their
+/// nodes may have restarted too, so the owner saves and restores it.
 class node_directory {
  public:
   /// `epoch` must be nonzero and differ between starts of the member.
   node_directory(std::uint64_t epoch, node_directory_options options)
       : epoch_{epoch}, options_{options} {}
 
-  /// Applies a status of a node; returns true if the directory changed.
+  /// Applies a status of a node; returns true if the directory changed. A
+  /// server that drains or has left stays so within one incarnation, also if
+  /// its node has forgotten it.
   auto apply(const node_status& status, time_point now) -> bool;
 
+  /// Adds a report that was saved before the start.
+  void restore(const node_report& report, time_point now);
+
+  /// The reports to be saved: those of drained servers.
+  [[nodiscard]] auto drains() const -> std::vector<node_report>;
+  /// Number of drains that were reported so far; the last one has this number.
+  [[nodiscard]] auto last_drain() const -> std::uint64_t { return last_drain_; }
+  /// Number of the drain in the report of `node`; 0 if it has none.
+  [[nodiscard]] auto drain_of(const vm_address& node) const -> std::uint64_t;
+
   /// Time for which the status is valid.
   [[nodiscard]] auto lease_of(const node_status& status) const -> duration;
 
@@ -57,11 +73,15 @@
     time_point last_report_time;
     duration lease;
     std::uint64_t change = 0;
+    std::uint64_t drain = 0;
   };
 
+  void publish(entry& x, const node_report& report, bool silent);
+
   std::uint64_t epoch_;
   node_directory_options options_;
   std::uint64_t last_change_ = 0;
+  std::uint64_t last_drain_ = 0;
   std::unordered_map<vm_address, entry> entries_;
 };
 
--- a/include/figwind/fleet_member.h
+++ b/include/figwind/fleet_member.h
@@ -64,10 +64,19 @@
   desired_state current;
 };
 
+/// Reports of nodes with drained servers, to be saved with `save_drains` in
+/// place of those before.
+struct drain_batch {
+  std::uint64_t number = 0;
+  std::vector<node_report> reports;
+};
+
 /// Actions for the caller. `persist` comes first; `on_persisted` returns the
 /// rest once it is durable.
 struct member_output {
   std::vector<persist_batch> persist;
+  /// Set at most once until `on_drains_saved` is called.
+  std::optional<drain_batch> drains;
   std::vector<outgoing<fleet_message>> messages;
   std::vector<desired_reply> replies;
   std::vector<leadership_change> leadership_changes;
@@ -117,6 +126,17 @@
   auto on_storage_failed() -> member_output;
 
   /// Starts a change. The reply is part of a later output. Leader only.
+
+  /// Takes reports that were saved before the start.
+  void restore_drains(const std::vector<node_report>& reports, time_point now);
+  /// The reports of a `drain_batch`, at any time.
+  [[nodiscard]] auto drains() const -> std::vector<node_report> {
+    return directory_.drains();
+  }
+  /// The batch is durable, or could not be saved. A node learns that this
+  /// member holds its report of a drain only once it is durable.
+  auto on_drains_saved(std::uint64_t batch, bool is_durable, time_point now)
+      -> member_output;
   auto change(const desired_change& change, member_output& out)
       -> member_ticket;
 
@@ -176,6 +196,7 @@
   auto make_update(node_entry& node, time_point now) -> member_update;
   void add_config(config_version held, member_update& out);
   [[nodiscard]] auto address_of(member_id id) const -> vm_address;
+  void save_drains(time_point now, member_output& out);
   [[nodiscard]] auto is_current(time_point now) const -> bool;
   [[nodiscard]] auto silent_voter(time_point now, duration limit) const
       -> member_id;
@@ -212,3 +233,7 @@
 };
 
 }  // namespace figwind
+  /// Last drain in the directory that is durable.
+  std::uint64_t saved_drain_ = 0;
+  bool is_saving_drains_ = false;
+  time_point next_drain_save_;
--- a/src/adapters/fleet_control.cc
+++ b/src/adapters/fleet_control.cc
@@ -30,6 +30,7 @@
 fleet_control::fleet_control(event_loop& loop, const fleet_settings& settings)
     : settings_{settings},
       self_address_{address_at(settings.ip, settings.link_port)},
+      drain_worker_{loop},
       links_{loop,
              settings.ip,
              large_link_use::always,
@@ -91,13 +92,44 @@
   log_info("disk_opened", {{"empty", is_empty},
                            {"first_start", settings_.first_start},
                            {"entries", state.entries.size()}});
+  // After an error of the disk, the member before knows all that was saved.
+  const auto drains = member_ ? member_->drains() : open_drains();
   member_ =
       std::make_unique<fleet_member>(member_options(), state, steady_now());
+  ++member_number_;
+  member_->restore_drains(drains, steady_now());
   member_->set_seeds(link_seeds(settings_));
   if (stopping_since_) member_->resign();
   disk_failed_ = false;
 }
 
+auto fleet_control::open_drains() -> std::vector<node_report> {
+  drain_files_ = std::make_shared<posix_files>();
+  auto found = drain_files_->open(settings_.data_folder + "/drains");
+  if (!found.empty()) throw std::runtime_error{to_string(found)};
+  auto drains = load_drains(*drain_files_);
+  if (ok(drains)) return value(std::move(drains));
+  // The other members hold the same reports.
+  log_error("drains_unreadable", {{"problem", to_string(errors(drains))}});
+  return {};
+}
+
+void fleet_control::save(const drain_batch& batch) {
+  drain_worker_.run(
+      [files = drain_files_, reports = batch.reports] {
+        return save_drains(*files, reports);
+      },
+      [this, number = batch.number,
+       member_number = member_number_](io_status status) {
+        if (status != io_status::done) {
+          log_error("drains_not_saved", {{"status", to_string(status)}});
+        }
+        if (member_number != member_number_) return;
+        apply_output(member_->on_drains_saved(number, status == io_status::done,
+                                              steady_now()));
+      });
+}
+
 void fleet_control::tick() {
   const auto now = steady_now();
   delay_log_.on_tick(now);
@@ -142,6 +174,7 @@
     pending_replies_.erase(found);
     done(x);
   }
+  if (out.drains) save(*out.drains);
   if (!out.persist.empty()) persist(out.persist);
 }
 
--- a/src/adapters/fleet_control.h
+++ b/src/adapters/fleet_control.h
@@ -12,10 +12,12 @@
 #include <unordered_map>
 
 #include "adapters/asio.h"
+#include "adapters/background_worker.h"
 #include "adapters/fleet_metrics.h"
 #include "adapters/loop_delay_log.h"
 #include "adapters/peer_link.h"
 #include "adapters/posix_files.h"
+#include "figwind/drain_store.h"
 #include "figwind/fleet_member.h"
 #include "figwind/fleet_settings.h"
 
@@ -54,6 +56,10 @@
 
  private:
   void open_storage();
+  /// Returns the drains that were saved before the start.
+  auto open_drains() -> std::vector<node_report>;
+  /// Saves beside the event loop, as a slow disk must not delay heartbeats.
+  void save(const drain_batch& batch);
   void tick();
   void apply_output(const member_output& out);
   void advance_stop(time_point now);
@@ -69,6 +75,9 @@
   vm_address self_address_;
   std::unique_ptr<posix_files> files_;
   std::unique_ptr<disk_storage> storage_;
+  /// Used by `drain_worker_` only, once it is open.
+  std::shared_ptr<posix_files> drain_files_;
+  background_worker drain_worker_;
   std::unique_ptr<fleet_member> member_;
   fleet_metrics metrics_;
   link_dialer links_;
@@ -79,6 +88,8 @@
   loop_delay_log delay_log_;
   std::unique_ptr<periodic_timer<std::function<void()>>> tick_timer_;
   std::unique_ptr<periodic_timer<std::function<void()>>> link_check_timer_;
+  /// Number of the present `member_`.
+  std::uint64_t member_number_ = 0;
   time_point disk_reopen_at_;
   bool disk_failed_ = false;
   std::optional<time_point> stopping_since_;
--- a/src/adapters/fleet_node.h
+++ b/src/adapters/fleet_node.h
@@ -185,6 +185,9 @@
 
   // Control.
   void on_member_update(const member_update& update);
+  /// Takes over a drain of the backend server that a member knows and this
+  /// node does not, as after a restart.
+  void take_drain(const member_update& update);
   void report_backend_state(const std::function<void()>& done);
   /// Acknowledges an announcement or departure with this effect.
   void acknowledge(announcement_effect effect,
--- a/src/adapters/fleet_node_control.cc
+++ b/src/adapters/fleet_node_control.cc
@@ -100,6 +100,8 @@
         is_past && (settings_.service.value.empty() ||
                     own->report.server.service == settings_.service);
     if (same_service) announcement_tracker_.apply(own->report.server, now);
+  } else {
+    take_drain(update);
   }
   if (effect.config) load_config(update, *effect.config);
   if (effect.config_refused) {
@@ -116,6 +118,19 @@
   });
 }
 
+void fleet_node::take_drain(const member_update& update) {
+  for (const auto& x : update.entries) {
+    if (!is_self(x.report.node.address)) continue;
+    const auto& known = x.report.server;
+    const auto effect = announcement_tracker_.learn_drain(known, steady_now());
+    if (effect != announcement_effect::changed) continue;
+    log_info("drain_learned", {{"server", known.server.value},
+                               {"state", to_string(known.state)},
+                               {"member", update.member.value}});
+    report_backend_state({});
+  }
+}
+
 void fleet_node::load_config(const member_update& from, std::string text) {
   config_worker_.run(
       [parse = config_parser_, text = std::move(text)] {
--- a/src/decisions/announcement.cc
+++ b/src/decisions/announcement.cc
@@ -119,6 +119,18 @@
   return announcement_effect::changed;
 }
 
+auto announcement_tracker::learn_drain(const announcement& known,
+                                       time_point now) -> announcement_effect {
+  const auto is_same =
+      known.born_ms != 0 && is_current(known.server, known.born_ms);
+  if (!is_same || known.state <= current_->state) {
+    return announcement_effect::stale;
+  }
+  current_->state = known.state;
+  last_announced_ = now;
+  return announcement_effect::changed;
+}
+
 void announcement_tracker::set_address(vm_address address) {
   if (address == address_) return;
   address_ = std::move(address);
--- a/src/decisions/fleet_directory.cc
+++ b/src/decisions/fleet_directory.cc
@@ -4,6 +4,27 @@
 #include <utility>
 
 namespace figwind {
+namespace {
+
+/// `report` with what is known of a drain of the same server.
+auto with_drain(node_report report, const node_report& known) -> node_report {
+  auto& server = report.server;
+  const auto is_same = server.born_ms != 0 &&
+                       server.born_ms == known.server.born_ms &&
+                       server.server == known.server.server;
+  if (is_same && server.state < known.server.state) {
+    server.state = known.server.state;
+    report.accepts_work = false;
+  }
+  return report;
+}
+
+}  // namespace
+
+auto is_drained(const node_report& x) -> bool {
+  return !x.server.server.value.empty() &&
+         x.server.state != announced_state::serving;
+}
 
 auto is_newer(const node_report& a, const node_report& b) -> bool {
   if (a.node.start != b.node.start) return a.node.start > b.node.start;
@@ -28,11 +49,40 @@
   auto changed =
       added || x.published.silent || is_newer(report, x.published.report);
   if (!changed) return false;
-  x.published = {report, false};
-  x.change = ++last_change_;
+  publish(x, with_drain(report, x.published.report), false);
   return true;
 }
 
+void node_directory::publish(entry& x, const node_report& report, bool silent) {
+  const auto is_news = is_newer(report, x.published.report) || x.drain == 0;
+  x.published = {report, silent};
+  x.change = ++last_change_;
+  if (!is_drained(report)) {
+    x.drain = 0;
+  } else if (is_news) {
+    x.drain = ++last_drain_;
+  }
+}
+
+void node_directory::restore(const node_report& report, time_point now) {
+  auto& x = entries_[report.node.address];
+  x.last_report_time = now;
+  publish(x, report, true);
+}
+
+auto node_directory::drains() const -> std::vector<node_report> {
+  auto out = std::vector<node_report>{};
+  for (const auto& [address, x] : entries_) {
+    if (x.drain != 0) out.push_back(x.published.report);
+  }
+  return out;
+}
+
+auto node_directory::drain_of(const vm_address& node) const -> std::uint64_t {
+  const auto found = entries_.find(node);
+  return found == entries_.end() ? 0 : found->second.drain;
+}
+
 auto node_directory::expire(time_point now) -> bool {
   auto changed = false;
   for (auto it = entries_.begin(); it != entries_.end();) {
--- a/src/decisions/fleet_member.cc
+++ b/src/decisions/fleet_member.cc
@@ -19,6 +19,8 @@
 constexpr std::size_t max_voters = 7;
 // Limits the memory for messages with arbitrary member ids.
 constexpr std::size_t max_hello_senders = 64;
+// Pause after an error of the disk before drains are saved again.
+constexpr auto drain_save_pause = seconds(1);
 
 auto encode_desired(const desired_state& x) -> std::string {
   auto to = byte_writer{};
@@ -79,6 +81,7 @@
   if (consensus_.compaction_due()) {
     append_output(out, consensus_.compact(store_.snapshot()));
   }
+  save_drains(now, out);
   push_updates(now, out);
   return out;
 }
@@ -102,6 +105,38 @@
   return out;
 }
 
+void fleet_member::restore_drains(const std::vector<node_report>& reports,
+                                  time_point now) {
+  for (const auto& x : reports) directory_.restore(x, now);
+  saved_drain_ = directory_.last_drain();
+}
+
+void fleet_member::save_drains(time_point now, member_output& out) {
+  const auto is_due = directory_.last_drain() != saved_drain_;
+  if (is_saving_drains_ || !is_due || now < next_drain_save_) return;
+  is_saving_drains_ = true;
+  out.drains = drain_batch{directory_.last_drain(), directory_.drains()};
+}
+
+auto fleet_member::on_drains_saved(std::uint64_t batch, bool is_durable,
+                                   time_point now) -> member_output {
+  auto out = member_output{};
+  is_saving_drains_ = false;
+  if (!is_durable) {
+    next_drain_save_ = now + drain_save_pause;
+    return out;
+  }
+  const auto before = std::exchange(saved_drain_, batch);
+  for (auto& [address, node] : nodes_) {
+    const auto drain = directory_.drain_of(address);
+    if (drain > before && drain <= batch) {
+      out.messages.push_back({address, make_update(node, now)});
+    }
+  }
+  save_drains(now, out);
+  return out;
+}
+
 auto fleet_member::on_storage_failed() -> member_output {
   auto out = member_output{};
   append_output(out, consensus_.on_storage_failed());
@@ -362,7 +397,9 @@
   out.members = peers();
   const auto* report = directory_.find(status.report.node.address);
   if (report != nullptr) {
-    out.report_sequence = report->sequence;
+    const auto address = status.report.node.address;
+    const auto is_held = directory_.drain_of(address) <= saved_drain_;
+    out.report_sequence = is_held ? report->sequence : 0;
     out.known_start = report->node.start;
   }
   out.epoch = directory_.epoch();
@@ -373,9 +410,11 @@
     status.cursor = directory_.cursor();
   }
   out.cursor = directory_.cursor();
-  if (report != nullptr && status.report.sequence == 0) {
-    out.entries.push_back({*report, false});
-  }
+  // The node has restarted, or does not know of the drain of its server.
+  const auto is_news =
+      report != nullptr && (status.report.sequence == 0 ||
+                            report->server.state > status.report.server.state);
+  if (is_news) out.entries.push_back({*report, false});
   return out;
 }
 
@@ -434,6 +473,7 @@
       hello_senders_.size() >= max_hello_senders) {
     return;
   }
+  save_drains(now, out);
   hello_senders_[m.id] = {m.address, now};
   // The seeds of a new process may not include the present leader.
   const auto leader = leader_address();
--- a/test/announcement-test.cc
+++ b/test/announcement-test.cc
@@ -56,6 +56,27 @@
   });
 }
 
+// Guards against a drain that a restarted node has forgotten and that a late
+// announcement undoes.
+TEST(announcement_tracker, takes_over_a_drain_of_its_server) {
+  const auto left = make_announcement("a", 100, 3, announced_state::left);
+  auto x = announcement_tracker{address};
+  EXPECT_EQ(x.learn_drain(left, {1}), effect::stale);
+  x.apply(make_announcement("a", 100, 4), {2});
+  EXPECT_EQ(x.learn_drain(left, {3}), effect::changed);
+  EXPECT_EQ(x.current()->state, announced_state::left);
+  section("a second time it is no news",
+          [&] { EXPECT_EQ(x.learn_drain(left, {4}), effect::stale); });
+  section("an announcement does not undo it", [&] {
+    EXPECT_EQ(x.apply(make_announcement("a", 100, 9), {5}), effect::stale);
+  });
+  section("a later incarnation of the server is another one", [&] {
+    x.apply(make_announcement("a", 200, 1), {6});
+    EXPECT_EQ(x.learn_drain(left, {7}), effect::stale);
+    EXPECT_EQ(x.current()->state, announced_state::serving);
+  });
+}
+
 // Guards against requests to a server that has gone and whose address is used
 // by another server.
 TEST(announcement_tracker, keeps_the_newest_server_of_the_address) {
--- a/test/fleet-cluster.h
+++ b/test/fleet-cluster.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "fake-files.h"
+#include "figwind/drain_store.h"
 #include "figwind/fleet_member.h"
 #include "figwind/fleet_settings.h"
 
@@ -40,6 +41,7 @@
     const auto is_empty = !state.snapshot && state.state.generation.value == 0;
     if (is_empty && !first_start) state.state.joins_only = true;
     x.core = std::make_unique<fleet_member>(options(number), state, now_);
+    x.core->restore_drains(value(load_drains(*x.files)), now_);
     x.core->set_seeds(seeds());
     std::erase_if(links_, [&](const auto& link) {
       return link.first.first == number || link.first.second == number;
@@ -280,6 +282,12 @@
       apply_output(number, x.core->on_persisted(batch.number));
     }
   }
+    if (out.drains) {
+      const auto status = save_drains(*x.files, out.drains->reports);
+      apply_output(number,
+                   x.core->on_drains_saved(out.drains->number,
+                                           status == io_status::done, now_));
+    }
 
   void send(int from, outgoing<fleet_message> m) {
     if (auto* update = std::get_if<member_update>(&m.message)) {
--- a/test/fleet-member-test.cc
+++ b/test/fleet-member-test.cc
@@ -40,8 +40,102 @@
   return out;
 }
 
+/// Status of a node with this report of its backend server. `sequence` 0 asks
+/// for the report of its earlier incarnation.
+auto status_with(announced_state state, incarnation start,
+                 std::uint64_t sequence, std::int64_t born_ms = 100)
+    -> node_status {
+  auto out = node_status{};
+  out.report.node = {{"10.0.1.1:7000"}, start};
+  out.report.sequence = sequence;
+  if (sequence == 0) return out;
+  out.report.accepts_work = state == announced_state::serving;
+  out.report.server.server = {"a"};
+  out.report.server.service = {"contracte"};
+  out.report.server.state = state;
+  out.report.server.born_ms = born_ms;
+  return out;
+}
+
+/// The reports of the node of `status_with` in the last update.
+auto own_reports(const std::vector<member_update>& updates)
+    -> std::vector<node_report> {
+  auto out = std::vector<node_report>{};
+  if (updates.empty()) return out;
+  for (const auto& x : updates.back().entries) {
+    if (x.report.node.address.value == "10.0.1.1:7000") {
+      out.push_back(x.report);
+    }
+  }
+  return out;
+}
+
 }  // namespace
 
+// Guards against requests to a server whose departure was acknowledged: all
+// processes that knew it ended together, and a late announcement arrived.
+TEST(fleet_member, keeps_drains_beyond_a_restart_of_all_processes) {
+  for (const auto state : {announced_state::draining, announced_state::left}) {
+    section(to_string(state), [&] {
+      auto x = formed(9);
+      ASSERT_TRUE(x.run_until([&] { return x.voters() == 4; }));
+      for (auto i = 1; i <= 4; ++i)
+        x.send_status(i, status_with(state, {1}, 1));
+      for (auto i = 1; i <= 4; ++i) x.lose_power(i);
+      for (auto i = 1; i <= 4; ++i) x.start(i, false);
+      for (auto i = 1; i <= 4; ++i) {
+        x.take_updates();
+        x.send_status(i, status_with(state, {2}, 0));
+        const auto known = own_reports(x.take_updates());
+        ASSERT_EQ(known.size(), 1U) << "member " << i;
+        EXPECT_EQ(known.front().server.state, state);
+        EXPECT_FALSE(known.front().accepts_work);
+      }
+      section("a node that was not told in time is corrected", [&] {
+        x.send_status(1, status_with(announced_state::serving, {2}, 1));
+        const auto known = own_reports(x.take_updates());
+        ASSERT_EQ(known.size(), 1U);
+        EXPECT_EQ(known.front().server.state, state);
+        EXPECT_FALSE(known.front().accepts_work);
+      });
+      section("a later incarnation of the server is used", [&] {
+        x.send_status(1, status_with(announced_state::serving, {2}, 2, 200));
+        EXPECT_TRUE(own_reports(x.take_updates()).empty());
+      });
+    });
+  }
+}
+
+// Guards against an acknowledged drain that no disk holds.
+TEST(fleet_member, acknowledges_a_drain_once_it_is_durable) {
+  const auto sequence_in = [](const member_output& out) {
+    for (const auto& x : out.messages) {
+      const auto* update = std::get_if<member_update>(&x.message);
+      if (update != nullptr) return static_cast<int>(update->report_sequence);
+    }
+    return -1;
+  };
+  auto x = fleet_member{fleet_member_options{}, {}, {0}};
+  const auto serving = status_with(announced_state::serving, {1}, 1);
+  EXPECT_EQ(sequence_in(x.on_message(serving, {10})), 1);
+  const auto left = status_with(announced_state::left, {1}, 2);
+  auto out = x.on_message(left, {20});
+  EXPECT_EQ(sequence_in(out), 0);
+  ASSERT_TRUE(out.drains);
+  section("the disk fails: it is saved again after a pause", [&] {
+    out = x.on_drains_saved(out.drains->number, false, {30});
+    EXPECT_EQ(sequence_in(out), -1);
+    EXPECT_FALSE(x.tick({40}).drains);
+    out = x.tick({1500});
+    ASSERT_TRUE(out.drains);
+  });
+  section("the disk holds it: the node is told at once", [&] {
+    out = x.on_drains_saved(out.drains->number, true, {1510});
+    EXPECT_EQ(sequence_in(out), 2);
+    EXPECT_FALSE(x.tick({1520}).drains);
+  });
+}
+
 // Guards against a cluster that never forms or forms twice. A process has three
 // seeds, but neither the number of members nor their addresses.
 TEST(fleet_member, forms_from_seeds_and_adds_the_other_members) {
