Set TCP_USER_TIMEOUT on links only: callers that paused lost their answers

Callers that paused for 3.5 s while they read lost the answers to requests that had run (48 of 48).

Cause: TCP_USER_TIMEOUT of 2.5 s, meant for lost peers, also ends connections to peers whose window is closed. It was set on all connections. Fix: only links between processes of the fleet have it; they always read. Callers are bounded by the timeout of the response, servers by the deadline. Related paths: requests to servers that pause while they read (node and figwindd) were broken off for the same reason.

--- a/src/adapters/asio.cc
+++ b/src/adapters/asio.cc
@@ -10,7 +10,7 @@
 namespace figwind {
 namespace {
 
-// Limit of unacknowledged data before a connection counts as lost: a few round
+// Time without acknowledgement after which a link counts as lost: a few round
 // trips between failure domains, including retransmissions.
 constexpr int unacknowledged_limit_ms = 2500;
 
@@ -26,9 +26,12 @@
   return tcp::endpoint{ip, static_cast<unsigned short>(*port)};
 }
 
-void set_socket_options(tcp::socket& socket) {
+void disable_nagle(tcp::socket& socket) {
   auto error = boost::system::error_code{};
   socket.set_option(tcp::no_delay{true}, error);
+}
+
+void limit_unacknowledged_time(tcp::socket& socket) {
   auto limit = unacknowledged_limit_ms;
   ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit,
                sizeof limit);
--- a/src/adapters/asio.h
+++ b/src/adapters/asio.h
@@ -25,9 +25,13 @@
 /// Parses `ip:port`; `std::nullopt` if the address or the port is invalid.
 auto parse_endpoint(const vm_address& address) -> std::optional<tcp::endpoint>;
 
-/// Disables Nagle's algorithm and limits the time that sent data may stay
-/// unacknowledged (`TCP_USER_TIMEOUT`).
-void set_socket_options(tcp::socket& socket);
+/// Disables Nagle's algorithm.
+void disable_nagle(tcp::socket& socket);
+
+/// Limits the time that sent data may stay unacknowledged (`TCP_USER_TIMEOUT`).
+/// The kernel also ends the connection to a peer that does not read for this
+/// time, so this is only for peers that always read: links of the fleet.
+void limit_unacknowledged_time(tcp::socket& socket);
 
 /// True if the peer has closed or reset the connection and all received bytes
 /// were read. Sets `has_bytes` to whether unread bytes are available.
--- a/src/adapters/backend_client.cc
+++ b/src/adapters/backend_client.cc
@@ -125,7 +125,7 @@
       if (self->is_finished_) return;
       if (error)
         return self->finish(backend_outcome::unreachable, error.message());
-      set_socket_options(*self->socket_);
+      disable_nagle(*self->socket_);
       self->start_timer(self->request_.timeout, backend_outcome::timed_out);
       self->send();
     });
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -42,7 +42,7 @@
     stream_.expires_after(to_chrono(connect_timeout));
     error = wait([&](auto done) { stream_.async_connect(endpoints, done); });
     if (error) return false;
-    set_socket_options(stream_.socket());
+    disable_nagle(stream_.socket());
     return true;
   }
 
--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -109,7 +109,7 @@
         timer_{socket_.get_executor()},
         state_{std::move(state)} {
     ++state_->open_connections;
-    set_socket_options(socket_);
+    disable_nagle(socket_);
   }
   ~session() override {
     if (has_pending_request_) --state_->pending_requests;
--- a/src/adapters/peer_link.cc
+++ b/src/adapters/peer_link.cc
@@ -35,7 +35,8 @@
 
 link_session::link_session(tcp::socket socket, std::uint64_t number)
     : socket_{std::move(socket)}, number_{number} {
-  set_socket_options(socket_);
+  disable_nagle(socket_);
+  limit_unacknowledged_time(socket_);
   auto ignored = error_code{};
   socket_.non_blocking(true, ignored);
 }
