Keep lost members out of the membership: replacements in series got stuck

The last members never joined.

Cause: a lost member's last greeting counted as a request to join after it had been replaced, so it came back as a learner that never answers; and nothing removed such a learner, which blocks every later change of the membership. Stopped members counted for 30 s after their replacement. Fix: what a silent voter sent before is no request to join; a learner that is silent for 1.5 s is removed and may join again; followers are known before their entry is sent (a new learner counted as silent since the epoch); silent voters are removed after 5 s while three remain.

--- a/include/figwind/fleet_member.h
+++ b/include/figwind/fleet_member.h
@@ -89,11 +89,14 @@
   failure_domain domain;
   node_directory_options directory;
   /// A voter that is silent for longer is replaced as soon as a new member asks
-  /// to join.
+  /// to join. A learner that is silent for longer is removed, as no other
+  /// member can join before it is a voter.
   duration replace_silent_after = milliseconds(1500);
   /// A voter that is silent for longer is removed if at least three voters
-  /// remain.
-  duration remove_silent_after = seconds(30);
+  /// remain: while it counts, the members that are left bear fewer losses. A
+  /// process that was killed returns sooner; a member that returns later joins
+  /// again.
+  duration remove_silent_after = seconds(5);
   /// Time between two hello messages to each peer; a process that wants to join
   /// repeats its request with them.
   duration hello_period = milliseconds(500);
@@ -123,9 +126,6 @@
   auto on_reachable(const vm_address& peer) -> member_output;
 
   auto on_persisted(std::uint64_t batch) -> member_output;
-  auto on_storage_failed() -> member_output;
-
-  /// Starts a change. The reply is part of a later output. Leader only.
 
   /// Takes reports that were saved before the start.
   void restore_drains(const std::vector<node_report>& reports, time_point now);
@@ -137,6 +137,9 @@
   /// member holds its report of a drain only once it is durable.
   auto on_drains_saved(std::uint64_t batch, bool is_durable, time_point now)
       -> member_output;
+  auto on_storage_failed() -> member_output;
+
+  /// Starts a change. The reply is part of a later output. Leader only.
   auto change(const desired_change& change, member_output& out)
       -> member_ticket;
 
@@ -193,13 +196,17 @@
   void send_hellos(time_point now, member_output& out);
   void adjust_membership(time_point now, member_output& out);
   void push_updates(time_point now, member_output& out);
+  void save_drains(time_point now, member_output& out);
   auto make_update(node_entry& node, time_point now) -> member_update;
   void add_config(config_version held, member_update& out);
   [[nodiscard]] auto address_of(member_id id) const -> vm_address;
-  void save_drains(time_point now, member_output& out);
   [[nodiscard]] auto is_current(time_point now) const -> bool;
-  [[nodiscard]] auto silent_voter(time_point now, duration limit) const
-      -> member_id;
+  /// Returns the first member that has been silent for longer; 0 if none.
+  [[nodiscard]] auto silent_member(bool is_voter, time_point now,
+                                   duration limit) const -> member_id;
+  /// Removes the member, and forgets its request to join: it may have sent that
+  /// before it was lost.
+  void remove_silent(member_id id, member_output& out);
 
   void handle(const node_status& m, time_point now, member_output& out);
   void handle(const member_hello& m, time_point now, member_output& out);
@@ -228,12 +235,12 @@
   time_point next_push_;
   /// Bytes of configurations sent to nodes since the last push.
   std::size_t pushed_bytes_ = 0;
+  /// Last drain in the directory that is durable.
+  std::uint64_t saved_drain_ = 0;
+  bool is_saving_drains_ = false;
+  time_point next_drain_save_;
   bool was_current_ = false;
   bool resigning_ = false;
 };
 
 }  // namespace figwind
-  /// Last drain in the directory that is durable.
-  std::uint64_t saved_drain_ = 0;
-  bool is_saving_drains_ = false;
-  time_point next_drain_save_;
--- a/src/decisions/consensus_replication.cc
+++ b/src/decisions/consensus_replication.cc
@@ -151,16 +151,16 @@
 }
 
 auto consensus::propose_membership(membership next) -> log_index {
-  auto index = append_as_leader(entry_kind::members, encode(next));
   std::erase_if(followers_, [&next](const auto& f) {
     return find_member(next, f.first) == nullptr;
   });
+  // Before the entry is sent to them: a new member has been silent since now.
   for (const auto& m : next.members) {
     if (m.id == settings_.self || followers_.count(m.id) > 0) continue;
     followers_[m.id].next_index = last_index() + 1;
     followers_[m.id].last_reply = now_;
   }
-  return index;
+  return append_as_leader(entry_kind::members, encode(next));
 }
 
 void consensus::advance_membership_change() {
--- a/src/decisions/fleet_member.cc
+++ b/src/decisions/fleet_member.cc
@@ -322,15 +322,25 @@
   for (auto& to : peers()) out.messages.push_back({to, hello});
 }
 
-auto fleet_member::silent_voter(time_point now, duration limit) const
-    -> member_id {
+auto fleet_member::silent_member(bool is_voter, time_point now,
+                                 duration limit) const -> member_id {
   for (const auto& m : consensus_.members().members) {
-    if (!m.voter || m.id == options_.consensus.self) continue;
+    if (m.voter != is_voter || m.id == options_.consensus.self) continue;
     if (now - consensus_.last_reply(m.id) > limit) return m.id;
   }
   return {};
 }
 
+void fleet_member::remove_silent(member_id id, member_output& out) {
+  hello_senders_.erase(id);
+  const auto address = consensus_.address_of(id);
+  auto removed = consensus_.remove_member(id);
+  if (removed.status == proposal_status::pending) {
+    out.membership_changes.push_back("removed " + address.value);
+  }
+  append_output(out, std::move(removed.output));
+}
+
 void fleet_member::adjust_membership(time_point now, member_output& out) {
   std::erase_if(hello_senders_, [&](const auto& x) {
     return now - x.second.last_hello > options_.hello_period * 4;
@@ -338,11 +348,17 @@
   const auto& all = consensus_.members();
   const auto voters = voter_count(all);
   // One membership change at a time: a learner must become a voter first.
-  if (all.members.size() != voters) return;
+  if (all.members.size() != voters) {
+    const auto lost = silent_member(false, now, options_.replace_silent_after);
+    if (lost.value != 0) remove_silent(lost, out);
+    return;
+  }
+  const auto silent = silent_member(true, now, options_.replace_silent_after);
+  // What the silent voter sent before it was lost is no request to join.
+  hello_senders_.erase(silent);
   for (const auto& [id, x] : hello_senders_) {
     if (find_member(all, id) != nullptr) continue;
-    auto silent = silent_voter(now, options_.replace_silent_after);
-    const auto suspect = silent_voter(now, options_.suspect_after);
+    const auto suspect = silent_member(true, now, options_.suspect_after);
     if (silent.value == 0 && suspect.value != 0) return;
     if (silent.value == 0 && voters >= max_voters) continue;
     auto added = consensus_.add_member(id, x.address, silent);
@@ -355,14 +371,8 @@
     append_output(out, std::move(added.output));
     return;
   }
-  auto silent = silent_voter(now, options_.remove_silent_after);
-  if (silent.value == 0 || voters <= min_voters) return;
-  auto address = consensus_.address_of(silent);
-  auto removed = consensus_.remove_member(silent);
-  if (removed.status == proposal_status::pending) {
-    out.membership_changes.push_back("removed " + address.value);
-  }
-  append_output(out, std::move(removed.output));
+  const auto lost = silent_member(true, now, options_.remove_silent_after);
+  if (lost.value != 0 && voters > min_voters) remove_silent(lost, out);
 }
 
 auto fleet_member::is_current(time_point now) const -> bool {
@@ -463,6 +473,7 @@
   node.status = m;
   node.last_status = now;
   node.update_due = false;
+  save_drains(now, out);
   out.messages.push_back({m.report.node.address, make_update(node, now)});
 }
 
@@ -473,7 +484,6 @@
       hello_senders_.size() >= max_hello_senders) {
     return;
   }
-  save_drains(now, out);
   hello_senders_[m.id] = {m.address, now};
   // The seeds of a new process may not include the present leader.
   const auto leader = leader_address();
--- a/test/fleet-cluster.h
+++ b/test/fleet-cluster.h
@@ -48,6 +48,9 @@
     });
   }
 
+  /// Sets the members in the settings of processes that start from now on.
+  void set_seeds(std::vector<int> seeds) { seeds_ = std::move(seeds); }
+
   /// From now on, links are opened this long after both ends run and one knows
   /// the other; messages before are lost. 0: all links are open.
   void set_link_delay(duration x) { link_delay_ = x; }
@@ -199,8 +202,10 @@
     fleet_message message;
   };
 
-  static auto seeds() -> std::vector<vm_address> {
-    return {address(1), address(2), address(3)};
+  auto seeds() const -> std::vector<vm_address> {
+    auto out = std::vector<vm_address>{};
+    for (const auto i : seeds_) out.push_back(address(i));
+    return out;
   }
 
   static auto id(int number) -> member_id {
@@ -212,7 +217,7 @@
     out.consensus.self = id(number);
     out.consensus.address = address(number);
     out.consensus.max_proposal_bytes = max_proposal_bytes(fleet_settings{});
-    for (auto i = 1; i <= 3; ++i) {
+    for (const auto i : seeds_) {
       out.consensus.initial_members.push_back(
           {id(i), address(i), {}, true, {}});
     }
@@ -277,17 +282,17 @@
     for (auto& reply : out.replies) {
       replies_[{number, reply.ticket}] = reply;
     }
-    for (const auto& batch : out.persist) {
-      x.disk->write(batch);
-      apply_output(number, x.core->on_persisted(batch.number));
-    }
-  }
     if (out.drains) {
       const auto status = save_drains(*x.files, out.drains->reports);
       apply_output(number,
                    x.core->on_drains_saved(out.drains->number,
                                            status == io_status::done, now_));
     }
+    for (const auto& batch : out.persist) {
+      x.disk->write(batch);
+      apply_output(number, x.core->on_persisted(batch.number));
+    }
+  }
 
   void send(int from, outgoing<fleet_message> m) {
     if (auto* update = std::get_if<member_update>(&m.message)) {
@@ -304,6 +309,7 @@
   static constexpr auto tick_period = milliseconds(10);
 
   random_source random_;
+  std::vector<int> seeds_{1, 2, 3};
   time_point now_{1000};
   std::map<int, member_process> members_;
   std::multimap<double, message_in_flight> in_flight_;
--- a/test/fleet-member-test.cc
+++ b/test/fleet-member-test.cc
@@ -306,6 +306,106 @@
   }
 }
 
+// Guards against a cluster that a series of replacements leaves without a
+// majority: each one must be complete before the next member is lost.
+TEST(fleet_member, replaces_one_member_after_the_other) {
+  for (auto seed = std::uint64_t{1}; seed <= seeds_of_schedules; ++seed) {
+    section("seed " + std::to_string(seed), [&] {
+      auto random = random_source{seed};
+      auto x = formed(seed);
+      ASSERT_TRUE(x.run_until([&] { return x.voters() == 4; }));
+      auto members = std::vector<int>{1, 2, 3, 4};
+      for (auto next = 5; next <= 12; ++next) {
+        x.set_seeds({members[0], members[1], members[2]});
+        auto& lost = members[random.index(members.size())];
+        x.remove(lost);
+        x.run(milliseconds(1100));
+        lost = next;
+        x.start(next, false);
+        ASSERT_TRUE(x.run_until([&] {
+          return x.voters() == 4 && x.all_vote();
+        })) << "number "
+            << next;
+      }
+    });
+  }
+}
+
+// Guards against lost members that still count after a series of planned and
+// unplanned replacements, so that the next failure stops the cluster, and
+// against a cluster that does not come back from a restart of all members.
+TEST(fleet_member, bears_a_failure_after_each_replacement) {
+  for (auto seed = std::uint64_t{1}; seed <= seeds_of_schedules; ++seed) {
+    section("seed " + std::to_string(seed), [&] {
+      auto random = random_source{seed};
+      auto x = formed(seed);
+      if (seed % 3 == 0) x.set_link_delay(milliseconds(60));
+      ASSERT_TRUE(x.run_until([&] { return x.voters() == 4; }));
+      auto members = std::vector<int>{1, 2, 3, 4};
+      auto label = std::uint64_t{0};
+      for (auto next = 5; next <= 12; ++next) {
+        x.set_seeds({members[0], members[1], members[2]});
+        auto& lost = members[random.index(members.size())];
+        const auto pause = milliseconds(200 + 3000 * random.uniform());
+        const auto is_planned = random.uniform() < 0.4;
+        if (is_planned) {
+          x.start(next, false);
+          x.run(pause);
+          x.core(lost).resign();
+          x.run(milliseconds(50 + 500 * random.uniform()));
+          x.remove(lost);
+        } else {
+          x.remove(lost);
+          x.run(pause);
+          x.start(next, false);
+        }
+        lost = next;
+        x.run(seconds(10));
+        const auto failing = members[random.index(members.size())];
+        x.kill(failing);
+        const auto text = "state " + std::to_string(next);
+        ASSERT_EQ(x.commit_change(label, label + 1, text), desired_status::done)
+            << "number " << next << ", planned: " << is_planned;
+        ++label;
+        x.start(failing, false);
+        ASSERT_TRUE(x.run_until([&] { return x.all_vote(); }))
+            << "number " << next << ", planned: " << is_planned;
+      }
+      for (const auto i : members) x.lose_power(i);
+      for (const auto i : members) x.start(i, false);
+      EXPECT_EQ(x.read_state().current.label.value, label);
+    });
+  }
+}
+
+// Guards against a member that is lost while it joins and then blocks all later
+// changes of the membership.
+TEST(fleet_member, forgets_a_member_that_is_lost_while_it_joins) {
+  for (auto seed = std::uint64_t{1}; seed <= seeds_of_schedules; ++seed) {
+    section("seed " + std::to_string(seed), [&] {
+      auto x = formed(seed);
+      ASSERT_TRUE(x.run_until([&] { return x.voters() == 4; }));
+      x.start(5, false);
+      ASSERT_TRUE(x.run_until([&] {
+        const auto& log = x.core(x.leader()).replicated_log();
+        return find_member(log.members(), {5}) != nullptr;
+      }));
+      x.remove(5);
+      x.run(seconds(1));
+      const auto lost = x.leader() == 1 ? 2 : 1;
+      x.remove(lost);
+      x.run(seconds(1));
+      x.start(6, false);
+      ASSERT_TRUE(x.run_until([&] { return x.voters() == 4 && x.all_vote(); }));
+      section("and takes it in again if it returns", [&] {
+        x.start(5, false);
+        EXPECT_TRUE(
+            x.run_until([&] { return x.voters() == 5 && x.all_vote(); }));
+      });
+    });
+  }
+}
+
 // Guards against a lost change if the member that acknowledged it loses its
 // disk while all other members lose power.
 TEST(fleet_member, keeps_accepted_changes_when_a_disk_is_lost) {
