Bound the memory of endless responses over all requests of a process

Cause: backend_client allowed each response 1 MiB beyond the common limit, http_client 64 MiB each without a common one and any size of a chunk's head, http_server any size of a chunk's head, the command line any body without a length. Fix: one rule for both clients (response_limit.h): 32 MiB together, beyond that only responses within an equal share go on. Unparsed bytes are limited on each connection.

--- a/src/adapters/backend_client.cc
+++ b/src/adapters/backend_client.cc
@@ -10,6 +10,7 @@
 #include "adapters/clock.h"
 #include "adapters/http_server.h"
 #include "figwind/parse.h"
+#include "figwind/response_limit.h"
 
 namespace figwind {
 namespace {
@@ -24,11 +25,6 @@
 // Share of a `Keep-Alive` timeout during which a connection is reused; the
 // server may close the connection early.
 constexpr auto idle_timeout_share = 0.5;
-// Bytes of all responses that are being received. A response that exceeds them
-// is cut off, as a faulty server may send bytes without end.
-constexpr auto max_response_bytes = std::size_t{32} << 20U;
-// A response up to this size is received also while others are too long.
-constexpr auto always_received_bytes = std::size_t{1} << 20U;
 constexpr auto max_header_bytes = std::uint32_t{32} << 10U;
 // Received bytes that are not parsed yet, such as the extension of a chunk.
 constexpr auto max_unparsed_bytes = std::size_t{128} << 10U;
@@ -76,7 +72,9 @@
         request_{std::move(request)},
         on_done_{std::move(done)},
         timer_{owner.loop_},
-        number_{number} {}
+        number_{number} {
+    ++owner_.active_requests_;
+  }
 
   [[nodiscard]] auto number() const -> std::uint64_t { return number_; }
   [[nodiscard]] auto echo_value() const -> const std::string& {
@@ -98,13 +96,13 @@
     on_done_ = {};
     finish(backend_outcome::failed, "abandoned");
   }
-  /// Replaces the timer in force. After a pause of the process, the wait of the
-  /// replaced timer may be over already and its handler queued, so that it can
-  /// no longer be cancelled.
 
  private:
   using parser = http::response_parser<http::string_body>;
 
+  /// Replaces the timer in force. After a pause of the process, the wait of the
+  /// replaced timer may be over already and its handler queued, so that it can
+  /// no longer be cancelled.
   void start_timer(duration limit, backend_outcome reason) {
     timer_.expires_after(to_chrono(std::max(limit, milliseconds(1))));
     timer_.async_wait([self = shared_from_this(), reason,
@@ -208,12 +206,12 @@
   }
 
   [[nodiscard]] auto exceeds_memory() const -> bool {
-    return owner_.received_bytes_ > max_response_bytes &&
-           received_bytes_ > always_received_bytes;
+    return !may_receive_more(received_bytes_, owner_.received_bytes_,
+                             owner_.active_requests_);
   }
 
   void handle_response() {
-    const auto message = parser_->release();
+    auto message = parser_->release();
     const auto is_interim = message.result_int() < 200;
     const auto echo = std::string{message[request_.echo_header]};
     const auto foreign = !echo.empty() && echo != request_.echo_value;
@@ -230,7 +228,7 @@
       response_.headers.emplace_back(std::string{field.name_string()},
                                      std::string{field.value()});
     }
-    response_.body = message.body();
+    response_.body = std::move(message.body());
     const auto is_refusal =
         message.result() == http::status::misdirected_request ||
         message.count(request_.refusal_header) > 0;
@@ -251,6 +249,7 @@
   void finish(backend_outcome how, std::string problem) {
     if (std::exchange(is_finished_, true)) return;
     timer_.cancel();
+    --owner_.active_requests_;
     owner_.received_bytes_ -= received_bytes_;
     if (socket_) {
       auto ignored = error_code{};
@@ -263,10 +262,10 @@
   }
 
   backend_client& owner_;
-  std::uint64_t timer_generation_ = 0;
   backend_request request_;
   response_handler on_done_;
   asio::steady_timer timer_;
+  std::uint64_t timer_generation_ = 0;
   std::uint64_t number_;
   std::optional<tcp::socket> socket_;
   http::request<http::string_body> message_;
--- a/src/adapters/backend_client.h
+++ b/src/adapters/backend_client.h
@@ -87,6 +87,10 @@
   [[nodiscard]] auto opened_connections() const -> std::uint64_t {
     return opened_connections_;
   }
+  /// Bytes so far of all responses that are being received.
+  [[nodiscard]] auto received_bytes() const -> std::size_t {
+    return received_bytes_;
+  }
 
  private:
   class pending_request;
@@ -109,7 +113,7 @@
   std::vector<std::weak_ptr<pending_request>> pending_requests_;
   std::uint64_t last_request_number_ = 0;
   std::uint64_t opened_connections_ = 0;
-  /// Bytes so far of all responses that are being received.
+  std::size_t active_requests_ = 0;
   std::size_t received_bytes_ = 0;
 };
 
--- a/src/adapters/cli_client.cc
+++ b/src/adapters/cli_client.cc
@@ -36,8 +36,8 @@
   return text;
 }
 
-auto to_answer(const httplib::Response& from) -> http_answer {
-  auto x = http_answer{from.status, from.body, {}};
+auto to_answer(const httplib::Response& from, std::string body) -> http_answer {
+  auto x = http_answer{from.status, std::move(body), {}};
   for (const auto& [name, text] : from.headers) {
     x.headers[to_lower(name)] = text;
   }
@@ -63,11 +63,15 @@
   if (request.method == "POST") {
     message.set_header("Content-Type", request.content_type);
   }
-  message.progress = [](std::uint64_t, std::uint64_t total) {
-    return total <= max_answer_bytes;
+  auto body = std::string{};
+  message.content_receiver = [&body](const char* bytes, std::size_t size,
+                                     std::uint64_t, std::uint64_t) {
+    if (body.size() + size > max_answer_bytes) return false;
+    body.append(bytes, size);
+    return true;
   };
   auto got = client->send(message);
-  if (got) return to_answer(*got);
+  if (got) return to_answer(*got, std::move(body));
   auto error = got.error();
   auto connected = error != httplib::Error::Connection &&
                    error != httplib::Error::ConnectionTimeout;
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -9,6 +9,7 @@
 #include "adapters/address.h"
 #include "adapters/asio.h"
 #include "adapters/call_headers.h"
+#include "figwind/response_limit.h"
 
 namespace figwind {
 namespace {
@@ -18,13 +19,43 @@
 using error_code = boost::system::error_code;
 
 constexpr auto connect_timeout = milliseconds(500);
-constexpr auto max_response_bytes = std::uint64_t{64} << 20U;
 constexpr auto max_header_bytes = std::uint32_t{64} << 10U;
+// Received bytes that are not parsed yet, such as the extension of a chunk.
+constexpr auto max_unparsed_bytes = std::size_t{128} << 10U;
 // Interim responses before the final one.
 constexpr auto max_interim_responses = 16;
 
 }  // namespace
 
+/// The bytes of one response, counted together with those of all others of the
+/// client while it is being received.
+class http_client::receipt {
+ public:
+  explicit receipt(http_client& owner) : owner_{owner} {
+    ++owner_.active_exchanges_;
+  }
+  ~receipt() {
+    owner_.received_bytes_ -= bytes_;
+    --owner_.active_exchanges_;
+  }
+  receipt(const receipt&) = delete;
+  auto operator=(const receipt&) -> receipt& = delete;
+  receipt(receipt&&) = delete;
+  auto operator=(receipt&&) -> receipt& = delete;
+
+  /// The response has `bytes` so far. Returns false if it is too long.
+  auto set(std::size_t bytes) -> bool {
+    owner_.received_bytes_ += bytes - bytes_;
+    bytes_ = bytes;
+    return may_receive_more(bytes_, owner_.received_bytes_,
+                            owner_.active_exchanges_);
+  }
+
+ private:
+  http_client& owner_;
+  std::size_t bytes_ = 0;
+};
+
 /// A connection whose operations block the calling thread.
 ///
 /// Reads with Boost.Beast because the client of cpp-httplib 0.11 takes a
@@ -53,14 +84,14 @@
     return !is_closed_by_peer(stream_.socket(), has_bytes) && !has_bytes;
   }
 
-  auto exchange(const http_client::request& x, duration timeout)
-      -> http_response {
+  auto exchange(const http_client::request& x, duration timeout,
+                http_client::receipt& received) -> http_response {
     stream_.expires_after(to_chrono(std::max(timeout, milliseconds(1))));
     auto message = make_message(x);
     const auto error =
         wait([&](auto done) { http::async_write(stream_, message, done); });
     if (error) return failure(error);
-    return read();
+    return read(received);
   }
 
   /// True if the last response ended where the next one may begin.
@@ -83,13 +114,28 @@
     return out;
   }
 
-  auto read() -> http_response {
+  using parser = http::response_parser<http::string_body>;
+
+  /// Reads the rest of a response.
+  auto read_all(parser& to, http_client::receipt& received) -> error_code {
+    while (!to.is_done()) {
+      const auto error = wait([&](auto done) {
+        http::async_read_some(stream_, buffer_, to, done);
+      });
+      if (error) return error;
+      if (!received.set(to.get().body().size() + buffer_.size())) {
+        return http::error::body_limit;
+      }
+    }
+    return {};
+  }
+
+  auto read(http_client::receipt& received) -> http_response {
     for (auto i = 0; i <= max_interim_responses; ++i) {
-      auto parser = http::response_parser<http::string_body>{};
+      auto parser = http_connection::parser{};
       parser.body_limit(max_response_bytes);
       parser.header_limit(max_header_bytes);
-      const auto error = wait(
-          [&](auto done) { http::async_read(stream_, buffer_, parser, done); });
+      const auto error = read_all(parser, received);
       if (error) return failure(error);
       if (parser.get().result_int() < 200) continue;
       keeps_alive_ = parser.get().keep_alive() && buffer_.size() == 0;
@@ -129,7 +175,7 @@
 
   event_loop loop_;
   beast::tcp_stream stream_{loop_};
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{max_unparsed_bytes};
   std::string host_;
   bool keeps_alive_ = false;
 };
@@ -163,7 +209,8 @@
     used = std::make_unique<http_connection>();
     if (!used->open(to)) return {http_result::not_sent, 0, {}, {}};
   }
-  auto response = used->exchange(x, timeout);
+  auto received = receipt{*this};
+  auto response = used->exchange(x, timeout, received);
   const auto is_complete = response.result == http_result::answered;
   if (is_complete && used->keeps_alive() && may_keep(response)) {
     give_back(to, std::move(used));
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -4,6 +4,7 @@
 
 #include <httplib.h>
 
+#include <atomic>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -66,12 +67,18 @@
   /// True when `to` accepts a new connection.
   static auto can_connect(const vm_address& to) -> bool;
 
+  /// Bytes so far of all responses that are being received.
+  [[nodiscard]] auto received_bytes() const -> std::size_t {
+    return received_bytes_;
+  }
+
   /// Sends one GET; waits at most `timeout` for the response.
   auto get(const vm_address& to, const std::string& path, duration timeout)
       -> http_response;
 
  private:
   using connection = std::unique_ptr<http_connection>;
+  class receipt;
   struct request {
     std::string method;
     std::string path;
@@ -90,6 +97,9 @@
                 Keep may_keep) -> http_response;
 
   std::size_t max_idle_;
+  /// Exchanges in progress, and the bytes so far of their responses.
+  std::atomic<std::size_t> active_exchanges_{0};
+  std::atomic<std::size_t> received_bytes_{0};
   std::mutex mutex_;
   std::map<vm_address, std::vector<connection>> idle_;
 };
--- a/src/adapters/http_server.cc
+++ b/src/adapters/http_server.cc
@@ -16,6 +16,9 @@
 namespace http = boost::beast::http;
 using error_code = boost::system::error_code;
 
+// Received bytes beyond a head that are not parsed yet, such as the extension
+// of a chunk.
+constexpr auto max_unparsed_bytes = std::size_t{128} << 10U;
 // Longest time to receive a body; after it the caller counts as lost.
 constexpr auto body_timeout = seconds(10);
 // Longest time to discard the rest of a refused request, so that its sender can
@@ -193,6 +196,7 @@
     parser_->header_limit(
         static_cast<std::uint32_t>(state_->limits.header_bytes));
     parser_->body_limit(state_->limits.body_bytes);
+    buffer_.max_size(state_->limits.header_bytes + max_unparsed_bytes);
     reading_header_ = true;
     start_timer(state_->limits.header_timeout);
     http::async_read_header(
--- a/test/adapter-backend-client-test.cc
+++ b/test/adapter-backend-client-test.cc
@@ -5,11 +5,14 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
+#include <functional>
 #include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "adapters/clock.h"
+#include "figwind/response_limit.h"
 #include "section.h"
 
 using namespace figwind;
@@ -132,3 +135,77 @@
     EXPECT_EQ(outcome, "unreachable");
   });
 }
+
+// Guards against a process that runs out of memory because a faulty server
+// sends bytes without end to many requests at once.
+TEST(backend_client, bounds_the_memory_of_endless_responses) {
+  constexpr auto requests = 200;
+  struct example {
+    std::string name;
+    std::string begin;
+    std::string endless;
+  };
+  const auto block = std::string(std::size_t{64} << 10U, 'a');
+  const auto head = std::string{"HTTP/1.1 200 OK\r\nX-Id: a\r\n"};
+  const auto examples = std::vector<example>{
+      {"a line of the head", head + "A: ", block},
+      {"a body without a length", head + "\r\n", block},
+      {"a body in chunks", head + "Transfer-Encoding: chunked\r\n\r\n",
+       "10000\r\n" + block + "\r\n"},
+  };
+  for (const auto& x : examples) {
+    section(x.name, [&] {
+      auto loop = event_loop{};
+      auto acceptor = tcp::acceptor{loop, *parse_endpoint({"127.0.0.1:0"})};
+      auto client = backend_client{loop};
+      client.set_address(
+          {"127.0.0.1:" + std::to_string(acceptor.local_endpoint().port())});
+      auto sockets = std::vector<tcp::socket>{};
+      std::function<void()> accept = [&] {
+        acceptor.async_accept(
+            [&](boost::system::error_code error, tcp::socket socket) {
+              if (error) return;
+              sockets.push_back(std::move(socket));
+              accept();
+            });
+      };
+      accept();
+      auto ended = 0;
+      auto answered = 0;
+      for (auto i = 0; i < requests; ++i) {
+        auto request = backend_request{};
+        request.method = "GET";
+        request.target = "/x";
+        request.timeout = seconds(60);
+        request.echo_header = "X-Id";
+        request.echo_value = "a";
+        client.send(std::move(request), [&](const backend_response& response) {
+          ++ended;
+          if (response.outcome == backend_outcome::answered) ++answered;
+        });
+      }
+      const auto end = steady_now() + seconds(60);
+      while (sockets.size() < requests && steady_now() < end) loop.poll();
+      // All responses grow at the same pace.
+      auto ignored = boost::system::error_code{};
+      for (auto& socket : sockets) {
+        asio::write(socket, asio::buffer(x.begin), ignored);
+        socket.non_blocking(true, ignored);
+      }
+      auto most = std::size_t{0};
+      while (ended < requests && steady_now() < end) {
+        for (auto& socket : sockets) {
+          socket.write_some(asio::buffer(x.endless), ignored);
+        }
+        loop.poll();
+        most = std::max(most, client.received_bytes());
+      }
+      EXPECT_EQ(ended, requests);
+      EXPECT_EQ(answered, 0);
+      EXPECT_LE(most, 2 * max_response_bytes);
+      EXPECT_EQ(client.received_bytes(), 0U);
+      acceptor.close(ignored);
+      loop.poll();
+    });
+  }
+}
--- a/test/adapter-http-client-test.cc
+++ b/test/adapter-http-client-test.cc
@@ -11,6 +11,7 @@
 #include <thread>
 
 #include "adapters/asio.h"
+#include "figwind/response_limit.h"
 #include "section.h"
 
 using namespace figwind;
@@ -25,6 +26,10 @@
          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+// What one connection may take of an endless response, with the buffers of the
+// kernel at both ends.
+constexpr auto max_sent_bytes = 2 * max_response_bytes;
+
 /// Server whose handler writes the bytes for each request, on a thread of its
 /// own for each connection.
 class raw_server {
@@ -55,6 +60,10 @@
   std::atomic<int> connections{0};
   /// True if the server closes each connection after what it has written.
   std::atomic<bool> closes{false};
+  /// If not empty, written after the handler's bytes until the client closes.
+  std::string endless;
+  /// Most bytes of `endless` on one connection.
+  std::atomic<std::size_t> longest{0};
 
  private:
   void serve() {
@@ -85,12 +94,26 @@
           socket,
           asio::buffer(answer_(head.substr(at, head.find('\r', at) - at))),
           error);
+      if (!endless.empty()) return send_without_end(socket);
       if (!closes) continue;
       socket.shutdown(tcp::socket::shutdown_both, error);
       return;
     }
   }
 
+  void send_without_end(tcp::socket& socket) {
+    auto error = boost::system::error_code{};
+    auto sent = std::size_t{0};
+    // Ends also if the client reads all.
+    while (!error && sent <= 2 * max_sent_bytes) {
+      sent += asio::write(socket, asio::buffer(endless), error);
+    }
+    socket.close(error);
+    auto most = longest.load();
+    while (sent > most && !longest.compare_exchange_weak(most, sent)) {
+    }
+  }
+
   handler answer_;
   event_loop loop_;
   tcp::acceptor acceptor_;
@@ -206,3 +229,50 @@
   }
   EXPECT_EQ(server.connections, 1);
 }
+
+// Guards against a process that runs out of memory because a faulty server
+// sends bytes without end: in a head, a body or a chunk's extension, to one
+// request or to many at once.
+TEST(http_client, bounds_the_memory_of_endless_responses) {
+  constexpr auto callers = 16;
+  struct example {
+    std::string name;
+    std::string begin;
+    std::string endless;
+  };
+  const auto block = std::string(std::size_t{64} << 10U, 'a');
+  const auto head = std::string{"HTTP/1.1 200 OK\r\nFigwind-Request-Id: 1\r\n"};
+  const auto chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  const auto examples = std::vector<example>{
+      {"a line of the head", head + "A: ", block},
+      {"a body without a length", head + "\r\n", block},
+      {"a body in chunks", chunked, "10000\r\n" + block + "\r\n"},
+      {"the extension of a chunk", chunked + "4;", block},
+  };
+  for (const auto& x : examples) {
+    section(x.name, [&] {
+      auto server = raw_server{[&](const std::string&) { return x.begin; }};
+      server.endless = x.endless;
+      auto client = http_client{4};
+      auto running = std::atomic<int>{callers};
+      auto answered = std::atomic<int>{0};
+      auto threads = std::vector<std::thread>{};
+      for (auto i = 0; i < callers; ++i) {
+        threads.emplace_back([&] {
+          const auto got = send(client, server, "1");
+          if (got.result != http_result::broken) ++answered;
+          --running;
+        });
+      }
+      auto most = std::size_t{0};
+      while (running > 0) {
+        most = std::max(most, client.received_bytes());
+        std::this_thread::yield();
+      }
+      for (auto& thread : threads) thread.join();
+      EXPECT_EQ(answered, 0);
+      EXPECT_LE(most, 2 * max_response_bytes);
+      EXPECT_LE(server.longest, max_sent_bytes);
+    });
+  }
+}
--- a/test/adapter-http-server-test.cc
+++ b/test/adapter-http-server-test.cc
@@ -153,3 +153,25 @@
     EXPECT_EQ(stopping_server::read_all(fresh), "");
   });
 }
+
+// Guards against a process that runs out of memory because a caller sends the
+// head of a chunk without end, which is neither a head nor a body.
+TEST(http_server, refuses_the_head_of_a_chunk_without_end) {
+  constexpr auto max_sent = std::size_t{16} << 20U;
+  auto server = stopping_server{};
+  auto caller = server.connect();
+  stopping_server::write(caller,
+                         "POST /x HTTP/1.1\r\nHost: a.example\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n4;");
+  const auto block = std::string(std::size_t{64} << 10U, 'a');
+  caller.non_blocking(true);
+  auto sent = std::size_t{0};
+  auto error = boost::system::error_code{};
+  const auto end = steady_now() + seconds(60);
+  while (sent <= max_sent && steady_now() < end) {
+    sent += caller.write_some(asio::buffer(block), error);
+    if (error && error != asio::error::would_block) break;
+    server.take_turn();
+  }
+  EXPECT_LE(sent, max_sent);
+}
