--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -29,19 +29,19 @@
 
 /// The bytes of one response, counted together with those of all others of the
 /// client while it is being received.
-class http_client::receipt {
+class http_client::counted_response {
  public:
-  explicit receipt(http_client& owner) : owner_{owner} {
+  explicit counted_response(http_client& owner) : owner_{owner} {
     ++owner_.active_exchanges_;
   }
-  ~receipt() {
+  ~counted_response() {
     owner_.received_bytes_ -= bytes_;
     --owner_.active_exchanges_;
   }
-  receipt(const receipt&) = delete;
-  auto operator=(const receipt&) -> receipt& = delete;
-  receipt(receipt&&) = delete;
-  auto operator=(receipt&&) -> receipt& = delete;
+  counted_response(const counted_response&) = delete;
+  auto operator=(const counted_response&) -> counted_response& = delete;
+  counted_response(counted_response&&) = delete;
+  auto operator=(counted_response&&) -> counted_response& = delete;
 
   /// The response has `bytes` so far. Returns false if it is too long.
   auto set(std::size_t bytes) -> bool {
@@ -85,7 +85,7 @@
   }
 
   auto exchange(const http_client::request& x, duration timeout,
-                http_client::receipt& received) -> http_response {
+                http_client::counted_response& received) -> http_response {
     stream_.expires_after(to_chrono(std::max(timeout, milliseconds(1))));
     auto message = make_message(x);
     const auto error =
@@ -117,7 +117,8 @@
   using parser = http::response_parser<http::string_body>;
 
   /// Reads the rest of a response.
-  auto read_all(parser& to, http_client::receipt& received) -> error_code {
+  auto read_all(parser& to, http_client::counted_response& received)
+      -> error_code {
     while (!to.is_done()) {
       const auto error = wait([&](auto done) {
         http::async_read_some(stream_, buffer_, to, done);
@@ -130,7 +131,7 @@
     return {};
   }
 
-  auto read(http_client::receipt& received) -> http_response {
+  auto read(http_client::counted_response& received) -> http_response {
     for (auto i = 0; i <= max_interim_responses; ++i) {
       auto parser = http_connection::parser{};
       parser.body_limit(max_response_bytes);
@@ -209,7 +210,7 @@
     used = std::make_unique<http_connection>();
     if (!used->open(to)) return {http_result::not_sent, 0, {}, {}};
   }
-  auto received = receipt{*this};
+  auto received = counted_response{*this};
   auto response = used->exchange(x, timeout, received);
   const auto is_complete = response.result == http_result::answered;
   if (is_complete && used->keeps_alive() && may_keep(response)) {
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -78,7 +78,7 @@
 
  private:
   using connection = std::unique_ptr<http_connection>;
-  class receipt;
+  class counted_response;
   struct request {
     std::string method;
     std::string path;
