Count no pause of the own process as silence of a link's peer

After a freeze of 2 s, callers of the frozen node got 502 for requests that another server then ran: the frames were written after the pause, and the next check closed the link, as 2 s had passed since they were queued.

Cause: the check compares the time since the first unanswered frame, also the part in which the process stood still and read nothing. Fix: a check that comes more than 200 ms after the last one moves that time by the pause. A peer that stays silent is still lost 0.9 s later.

Before, with the pause counted again: the new test failed (link lost).

--- a/src/adapters/peer_link.cc
+++ b/src/adapters/peer_link.cc
@@ -1,5 +1,6 @@
 #include "adapters/peer_link.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
@@ -30,6 +31,8 @@
 constexpr auto unresponsive_after = milliseconds(330);
 constexpr auto small_link_timeout = milliseconds(900);
 constexpr auto large_link_timeout = milliseconds(2500);
+// Time between two checks of the links beyond which the process stood still.
+constexpr auto max_check_interval = milliseconds(200);
 
 }  // namespace
 
@@ -153,6 +156,18 @@
   }
 }
 
+void link_session::skip_pause(duration pause, time_point now) {
+  if (awaiting_bytes_since_.ms == 0) return;
+  awaiting_bytes_since_ = std::min(awaiting_bytes_since_ + pause, now);
+}
+
+auto pause_detector::on_check(time_point now) -> duration {
+  const auto before = std::exchange(last_check_, now);
+  const auto passed = now - before;
+  const auto is_late = before.ms != 0 && passed > max_check_interval;
+  return is_late ? passed : duration{};
+}
+
 auto link_session::is_unresponsive(time_point now) const -> bool {
   return awaiting_bytes_since_.ms != 0 &&
          now - awaiting_bytes_since_ > unresponsive_after;
@@ -194,9 +209,12 @@
 }
 
 void link_listener::check_liveness(time_point now) {
+  const auto pause = pauses_.on_check(now);
   for (const auto& x : sessions_) {
-    if (const auto session = x.lock())
-      session->check_liveness(now, large_link_timeout);
+    const auto session = x.lock();
+    if (!session) continue;
+    session->skip_pause(pause, now);
+    session->check_liveness(now, large_link_timeout);
   }
 }
 
@@ -299,6 +317,7 @@
 
 auto link_dialer::check_links(time_point now) -> bool {
   auto changed = std::exchange(new_failures_, false);
+  const auto pause = pauses_.on_check(now);
   // Iterate over a copy: a handler may change the peers.
   auto keys = std::vector<link_key>{};
   for (const auto& [to, x] : peers_) keys.push_back(to);
@@ -307,6 +326,7 @@
     if (found == peers_.end()) continue;
     auto& x = found->second;
     if (x.session) {
+      x.session->skip_pause(pause, now);
       const auto is_small = to.kind == link_kind::small;
       const auto suspect = is_small && x.session->is_unresponsive(now);
       changed |= suspect != std::exchange(x.is_unresponsive, suspect);
--- a/src/adapters/peer_link.h
+++ b/src/adapters/peer_link.h
@@ -42,6 +42,10 @@
   /// connection after `timeout`.
   void check_liveness(time_point now, duration timeout);
 
+  /// This process stood still for the time `pause` until `now`. What the peer
+  /// sent meanwhile was not read, so the time does not count as silence.
+  void skip_pause(duration pause, time_point now);
+
   /// True if no byte has arrived for 330 ms after a frame was sent.
   [[nodiscard]] auto is_unresponsive(time_point now) const -> bool;
 
@@ -73,6 +77,17 @@
   bool is_probe_sent_ = false;
 };
 
+/// Finds times in which this process stood still, from the times of checks that
+/// are due about every 50 ms.
+class pause_detector {
+ public:
+  /// Returns the time since the last check, or 0 if the check is not late.
+  auto on_check(time_point now) -> duration;
+
+ private:
+  time_point last_check_;
+};
+
 /// Accepts links from other processes.
 class link_listener {
  public:
@@ -97,6 +112,7 @@
   session_handler handler_;
   std::uint64_t last_session_number_ = 0;
   std::vector<std::weak_ptr<link_session>> sessions_;
+  pause_detector pauses_;
 };
 
 /// The link that a message takes.
@@ -191,6 +207,7 @@
   large_link_use large_link_use_;
   handlers handlers_;
   std::map<link_key, peer_state> peers_;
+  pause_detector pauses_;
   /// True if an attempt to open a link has failed since the last check.
   bool new_failures_ = false;
   std::uint64_t last_session_number_ = 0;
--- a/test/adapter-peer-link-test.cc
+++ b/test/adapter-peer-link-test.cc
@@ -146,5 +146,28 @@
             (std::vector{3 * nearly_large_bytes, 3 * nearly_large_bytes}));
 }
 
+// Guards against links that a process closes after a pause of its own, with the
+// answers that arrived meanwhile: their requests ran, and callers got none.
+TEST(peer_link, counts_no_pause_of_its_own_process_as_silence) {
+  auto x = link_pair{large_link_use::on_demand};
+  const auto start = steady_now();
+  x.dialer.check_links(start);
+  x.dialer.send(x.peer, call_with_body(1, small_bytes));
+  // The process stands still before the frame is written.
+  x.dialer.check_links(start + seconds(2));
+  EXPECT_TRUE(x.dialer.is_reachable(x.peer));
+  x.run_until([&] { return x.received.size() == 1; });
+  EXPECT_TRUE(x.lost.empty());
+  section("a peer that stays silent is lost", [&] {
+    auto now = start + seconds(2);
+    x.dialer.send(x.peer, call_with_body(2, small_bytes));
+    for (auto i = 0; i < 30; ++i) {
+      now = now + milliseconds(50);
+      x.dialer.check_links(now);
+    }
+    x.run_until([&] { return !x.lost.empty(); });
+  });
+}
+
 }  // namespace
 }  // namespace figwind
