--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,7 +3,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-2/forgotten-departure
 [ -x "$program" ] && [ -x target/figwind-platform ] || exit 2
-timeout 110 "$program" target/figwind-platform review/6/record.txt
+timeout 110 "$program" target/figwind-platform review/6/record.txt before-stop
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/stand-ins-2/forgotten-departure.cc
+++ b/review/stand-ins-2/forgotten-departure.cc
@@ -1,5 +1,7 @@
-// A server leaves while its node is cut off from the control members; the node
-// acknowledges the departure, is stopped and started again, and the cut heals.
+// A server leaves while its node is cut off from the control members. The node
+// acknowledges the departure; it is stopped and started again before the cut
+// heals, after the departure (`before-stop`) or while the server repeats its
+// DELETE (`after-start`).
 // Does the server get work later than `drain` after the acknowledgement?
 
 #include <csignal>
@@ -9,9 +11,11 @@
 namespace figwind::review {
 namespace {
 
-constexpr auto cut_time = seconds(5);
+/// When the server leaves.
+enum class departure { before_stop, after_start };
 
-auto run(const std::string& program, record_file& record) -> verdict {
+auto run(const std::string& program, record_file& record, departure when)
+    -> verdict {
   auto all = deployment{program};
   for (const auto* zone : {"a", "b", "c"}) all.add(zone, "");
   all.add("a", "counter");
@@ -72,22 +76,27 @@
     return verdict::not_run;
   all.run_for(seconds(4));
 
+  const auto heal_after = [&](duration wait) {
+    all.after(wait, [&] {
+      record.line("the cut heals");
+      all.network.heal();
+    });
+  };
   const auto trouble = has_trouble();
   if (trouble) {
     record.line("cut: the node of %s from all control members",
                 leaving.name().c_str());
     all.cut_from_members(leaving_node);
-    all.after(cut_time, [&] {
-      record.line("the cut heals");
-      all.network.heal();
-    });
   }
-  all.run_for(milliseconds(700));
-  leaving.leave([&] { acknowledged_at = record.now(); });
-  all.run_until(seconds(2), [&] { return acknowledged_at >= 0; });
-  if (acknowledged_at < 0) {
-    // Nothing was promised.
-    record.line("the departure is not acknowledged");
+  // Without an acknowledgement, nothing is promised.
+  const auto leave = [&] {
+    leaving.leave([&] { acknowledged_at = record.now(); });
+  };
+  if (when == departure::before_stop) {
+    if (trouble) heal_after(seconds(5));
+    all.run_for(milliseconds(700));
+    leave();
+    all.run_until(seconds(2), [&] { return acknowledged_at >= 0; });
   }
   record.line("SIGTERM to the node of %s", leaving.name().c_str());
   all.at(leaving_node).signal(SIGTERM);
@@ -95,12 +104,18 @@
                      [&] { return all.at(leaving_node).has_ended(); }))
     all.at(leaving_node).kill(SIGKILL);
   record.line("the node has ended");
+  // The server repeats its DELETE until the node is back.
+  if (when == departure::after_start) leave();
   all.run_for(milliseconds(300));
   record.line("the node starts again");
   all.start(leaving_node, false);
   const auto restarted_at = record.now();
+  if (when == departure::after_start) {
+    if (trouble) heal_after(milliseconds(700));
+    all.run_for(milliseconds(300));
+  }
   all.run_for(seconds(2.5));
-  in_touch_at = restarted_at + 2500 + stable_window.ms;
+  in_touch_at = restarted_at + 1500 + stable_window.ms;
   all.run_for(seconds(4.5));
   leaving.end();
   record.line("server %s exits", leaving.name().c_str());
@@ -115,10 +130,13 @@
 
 auto main(int argc, char** argv) -> int {
   using namespace figwind::review;
-  if (argc != 3) return static_cast<int>(verdict::not_run);
+  if (argc != 4) return static_cast<int>(verdict::not_run);
   std::signal(SIGPIPE, SIG_IGN);
   auto record = record_file{argv[2]};
-  const auto result = run(argv[1], record);
+  const auto when = std::string{argv[3]} == "after-start"
+                        ? departure::after_start
+                        : departure::before_stop;
+  const auto result = run(argv[1], record, when);
   record.line("verdict: %d", static_cast<int>(result));
   return static_cast<int>(result);
 }
