Review: a late first ping revives a server whose departure was acknowledged

A DELETE of a server that the node has not heard of yet is acknowledged and kept with start time 0, so a ping that was sent before it counts as news.

--- a/review/stand-ins-2/deployment.h
+++ b/review/stand-ins-2/deployment.h
@@ -103,6 +103,8 @@
   auto operator=(const server&) -> server& = delete;
 
   duration work = milliseconds(20);
+  /// Time that the first ping needs to its node.
+  duration first_ping_delay;
   /// Called for each request that this server begins to run.
   std::function<void(const server_request&)> on_run;
 
@@ -112,7 +114,7 @@
     pings_ = true;
     acceptor_.emplace(loop_, *parse_endpoint(address_at(ip_, port_)), true);
     accept();
-    ping();
+    send_pings();
   }
 
   /// Ends without a word.
@@ -165,20 +167,42 @@
   };
   using session_ptr = std::shared_ptr<session>;
 
-  void ping() {
+  void send_pings() {
     if (!pings_) return;
-    const auto body = R"({"service":")" + service_ + R"(","address":")" + ip_ +
-                      ":" + std::to_string(port_) + R"(","zone":")" + zone_ +
-                      R"(","version":"v1","slots":40,"state":"ready",)" +
-                      R"("cold-left":"0ms","sequence":)" +
-                      std::to_string(++sequence_) + R"(,"born":)" +
-                      std::to_string(born_ms_) + "}";
+    ++sequence_;
+    if (sequence_ == 1 && first_ping_delay > duration{}) {
+      send_late_ping(ping_body());
+    } else {
+      send_ping(ping_body());
+    }
+    timer_.expires_after(to_chrono(heartbeat));
+    timer_.async_wait([this](error_code error) {
+      if (!error) send_pings();
+    });
+  }
+
+  [[nodiscard]] auto ping_body() const -> std::string {
+    return R"({"service":")" + service_ + R"(","address":")" + ip_ + ":" +
+           std::to_string(port_) + R"(","zone":")" + zone_ +
+           R"(","version":"v1","slots":40,"state":"ready",)" +
+           R"("cold-left":"0ms","sequence":)" + std::to_string(sequence_) +
+           R"(,"born":)" + std::to_string(born_ms_) + "}";
+  }
+
+  void send_ping(const std::string& body) {
     call_once(loop_, address_at(ip_, control_port),
               make_request(http::verb::put, "/v1/instances/" + name_, body),
               seconds(1), [](const auto&) {});
-    timer_.expires_after(to_chrono(heartbeat));
-    timer_.async_wait([this](error_code error) {
-      if (!error) ping();
+  }
+
+  /// The ping was sent now and arrives later, whatever the server does then.
+  void send_late_ping(const std::string& body) {
+    auto timer = std::make_shared<asio::steady_timer>(loop_);
+    timer->expires_after(to_chrono(first_ping_delay));
+    timer->async_wait([this, timer, body](error_code error) {
+      if (error) return;
+      record_.line("the first ping of %s arrives", name_.c_str());
+      send_ping(body);
     });
   }
 
