Review: a node that reports no server erases an acknowledged departure

The members hold the departure on their disks, but a node that has not heard its previous state in 1.5 s reports no server, and the report replaces the departure in their directories. A late ping then brings the server back.

--- a/review/stand-ins-2/deployment.h
+++ b/review/stand-ins-2/deployment.h
@@ -128,6 +128,14 @@
     sessions_.clear();
   }
 
+  /// Sends the next ping now, in place of the one that is due; it needs `delay`
+  /// to arrive.
+  void ping_late(duration delay) {
+    ++sequence_;
+    send_late_ping(ping_body(), delay);
+    wait_for_next_ping();
+  }
+
   /// Leaves without having reported `draining`: sends DELETE until it is
   /// acknowledged, pings no more and serves on until `end`.
   void leave(std::function<void()> on_acknowledged) {
@@ -171,10 +179,14 @@
     if (!pings_) return;
     ++sequence_;
     if (sequence_ == 1 && first_ping_delay > duration{}) {
-      send_late_ping(ping_body());
+      send_late_ping(ping_body(), first_ping_delay);
     } else {
       send_ping(ping_body());
     }
+    wait_for_next_ping();
+  }
+
+  void wait_for_next_ping() {
     timer_.expires_after(to_chrono(heartbeat));
     timer_.async_wait([this](error_code error) {
       if (!error) send_pings();
@@ -196,12 +208,12 @@
   }
 
   /// The ping was sent now and arrives later, whatever the server does then.
-  void send_late_ping(const std::string& body) {
+  void send_late_ping(const std::string& body, duration delay) {
     auto timer = std::make_shared<asio::steady_timer>(loop_);
-    timer->expires_after(to_chrono(first_ping_delay));
+    timer->expires_after(to_chrono(delay));
     timer->async_wait([this, timer, body](error_code error) {
       if (error) return;
-      record_.line("the first ping of %s arrives", name_.c_str());
+      record_.line("a late ping of %s arrives", name_.c_str());
       send_ping(body);
     });
   }
