Complete no response by a reset during the upload

What callers saw: a backend server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the node was still writing the upload. The caller got the part as a complete 200.

Cause: a reset leaves one pending error at the socket, and the first operation after it takes that error. When the pending write took it, the next read returned what had arrived and then the end of the stream, which completes a response without a length. Who is first depends on the order of events: with the read first, the response already counted as broken.

Evidence: faulty_server.never_completes_an_answer_by_a_reset_during_an_upload writes 16 MiB, more than both sockets hold, and the stand-in answers and resets in one turn of the event loop, so that the write comes first.

Fix: a response without a length that ends while its request is being written is complete only once the write has ended without an error, or once no reset has followed for 100 ms (the server is on the same VM). A write that fails before or after the end of the stream makes it broken, so the result no longer depends on the order. The caller gets 502 at once. A server that ends its side in order, whether or not it reads the rest of the upload, still completes its response (rows "ended in order").

Elsewhere: http_client and the client of the command line read only after the whole request has been written, so a failed write never precedes a read. Links between processes carry frames with a length. raw_server moves to a header to serve both tests.

--- a/src/adapters/asio.cc
+++ b/src/adapters/asio.cc
@@ -46,4 +46,11 @@
   return got == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+auto has_socket_error(tcp::socket& socket) -> bool {
+  auto error = 0;
+  auto size = socklen_t{sizeof error};
+  ::getsockopt(socket.native_handle(), SOL_SOCKET, SO_ERROR, &error, &size);
+  return error != 0;
+}
+
 }  // namespace figwind
--- a/src/adapters/asio.h
+++ b/src/adapters/asio.h
@@ -37,6 +37,10 @@
 /// were read. Sets `has_bytes` to whether unread bytes are available.
 auto is_closed_by_peer(tcp::socket& socket, bool& has_bytes) -> bool;
 
+/// True if the connection has failed, as by a reset, and no operation has
+/// reported it yet.
+auto has_socket_error(tcp::socket& socket) -> bool;
+
 inline auto to_chrono(duration x) -> std::chrono::microseconds {
   return std::chrono::microseconds{static_cast<std::int64_t>(x.ms * 1000)};
 }
--- a/src/adapters/backend_client.cc
+++ b/src/adapters/backend_client.cc
@@ -31,6 +31,10 @@
 // A read that fills its buffer is followed by one of twice the size.
 constexpr auto min_read_bytes = std::size_t{4} << 10U;
 constexpr auto max_read_bytes = std::size_t{64} << 10U;
+// Longest time between the end of a response and the reset that follows if the
+// backend server, on the same VM, has closed the connection while the request
+// was being written.
+constexpr auto reset_wait = milliseconds(100);
 // Interim and duplicate responses before the one to the request.
 constexpr auto max_skipped_responses = 16;
 
@@ -108,10 +112,17 @@
     timer_.async_wait([self = shared_from_this(), reason,
                        generation = ++timer_generation_](error_code error) {
       if (error || generation != self->timer_generation_) return;
-      self->finish(reason, "timed out");
+      self->on_timer(reason);
     });
   }
 
+  void on_timer(backend_outcome reason) {
+    if (!awaits_reset_) return finish(reason, "timed out");
+    // After a pause of the process, a reset may not have been noticed yet.
+    if (has_socket_error(*socket_)) is_connection_broken_ = true;
+    complete_at_end_of_stream();
+  }
+
   void connect() {
     const auto to = parse_endpoint(owner_.address_);
     if (!to) return finish(backend_outcome::unreachable, "invalid address");
@@ -145,12 +156,17 @@
     http::async_write(
         *socket_, message_,
         [self = shared_from_this()](error_code error, std::size_t) {
-          // A response may arrive before the server has read the body. That
-          // response is valid, but the connection is not reused.
-          if (!error) self->is_request_written_ = true;
+          if (!self->is_finished_) self->on_request_written(error);
         });
   }
 
+  /// A response may arrive before the server has read the body. That response
+  /// is valid, but the connection is not reused.
+  void on_request_written(error_code error) {
+    (error ? is_connection_broken_ : is_request_written_) = true;
+    if (awaits_reset_) complete_at_end_of_stream();
+  }
+
   void read() {
     parser_.emplace();
     parser_->body_limit(max_response_bytes);
@@ -195,10 +211,27 @@
     parse();
   }
 
-  /// Only a response without a length may end with the connection.
   void on_end_of_stream() {
     if (!parser_->got_some())
       return finish(backend_outcome::failed, "end of stream");
+    const auto ends_with_connection =
+        parser_->is_header_done() && parser_->need_eof();
+    if (ends_with_connection && !is_request_written_ &&
+        !is_connection_broken_) {
+      awaits_reset_ = true;
+      start_timer(reset_wait, backend_outcome::failed);
+      return;
+    }
+    complete_at_end_of_stream();
+  }
+
+  /// Only a response without a length may end with the connection, and only if
+  /// the server has not reset it. A failed write takes the error of the socket,
+  /// so that reads return the end of the stream after a reset, too.
+  void complete_at_end_of_stream() {
+    awaits_reset_ = false;
+    if (is_connection_broken_)
+      return finish(backend_outcome::failed, "connection reset");
     auto error = error_code{};
     parser_->put_eof(error);
     if (error) return finish(backend_outcome::failed, error.message());
@@ -276,6 +309,10 @@
   std::size_t received_bytes_ = 0;
   int skipped_responses_ = 0;
   bool is_request_written_ = false;
+  bool is_connection_broken_ = false;
+  /// True after the end of a response without a length, until the request has
+  /// been written, the write has failed or no reset has followed.
+  bool awaits_reset_ = false;
   bool is_finished_ = false;
 };
 
--- a/test/adapter-faulty-server-test.cc
+++ b/test/adapter-faulty-server-test.cc
@@ -25,6 +25,45 @@
   return status == "502" || status == "504";
 }
 
+// Longer than what the sockets of both ends hold, so that the node is still
+// writing while the server does not read.
+constexpr auto long_body_bytes = std::size_t{16} << 20U;
+
+void replace_all(std::string& text, const std::string& from,
+                 const std::string& to) {
+  for (auto at = text.find(from); at != std::string::npos;
+       at = text.find(from, at + to.size())) {
+    text.replace(at, from.size(), to);
+  }
+}
+
+/// Sets time limits beyond the wait of the tests, so that a caller that waits
+/// for one gets no answer in a test, and accepts long bodies.
+auto set_generous_limits(loopback_fleet& fleet) -> bool {
+  auto config = std::string{config_text};
+  replace_all(config, "r1", "r3");
+  replace_all(config, "\"3s\"", "\"90s\"");
+  replace_all(config, "\"max-body-bytes\":1000", "\"max-body-bytes\":33554432");
+  return status_of(fleet.put_in_force("r1", config)) == "200";
+}
+
+auto request_bytes(const std::string& start, const std::string& id,
+                   const std::string& body = {}) -> std::string {
+  return start + " HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: " + id +
+         "\r\nX-Deadline-Ms: 90000\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// A node that callers use: the VM of the server's node or another one.
+struct entry {
+  std::string name;
+  int vm;
+};
+
+auto entries() -> std::vector<entry> {
+  return {{"through another node", 4}, {"at the node of the server", 5}};
+}
+
 /// What may be written on a connection that was used before.
 struct leftover {
   std::string name;
@@ -266,26 +305,76 @@
   EXPECT_EQ(body_of(fleet.call("POST", "/act/x", "sound")), "whole sound");
 }
 
+// Guards against a part of an answer that counts as complete because the
+// server reset the connection while it was sent a long upload: the failed write
+// takes the error of the socket, and the read after it sees an orderly end.
+TEST(faulty_server, never_completes_an_answer_by_a_reset_during_an_upload) {
+  auto fleet = loopback_fleet{};
+  fleet.begin();
+  ASSERT_TRUE(set_generous_limits(fleet));
+  auto& server = *fleet.backend;
+  struct example {
+    std::string name;
+    /// Framing headers and body.
+    std::string framing;
+    ending end;
+    std::string status;
+    std::string body;
+  };
+  const auto examples = std::vector<example>{
+      {"no length, reset", "\r\nhello", ending::reset, "502", ""},
+      {"no length, closed with the upload unread", "\r\nhello", ending::close,
+       "502", ""},
+      {"no length, ended in order", "\r\nhello", ending::half_close, "200",
+       "hello"},
+      {"no length, ended in order with the upload unread", "\r\nhello",
+       ending::half_close_unread, "200", "hello"},
+      {"no length, ended and then reset", "\r\nhello",
+       ending::half_close_then_reset, "502", ""},
+      {"a length, reset within the body", "Content-Length: 9\r\n\r\nhello",
+       ending::reset, "502", ""},
+      {"a length, closed within the body", "Content-Length: 9\r\n\r\nhello",
+       ending::close, "502", ""},
+      {"a length, ended within the body", "Content-Length: 9\r\n\r\nhello",
+       ending::half_close, "502", ""},
+      {"a length, reset after the whole answer",
+       "Content-Length: 5\r\n\r\nhello", ending::reset, "200", "hello"},
+      {"chunks, reset before the last",
+       "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", ending::reset, "502",
+       ""},
+      {"no body, reset", "\r\n", ending::reset, "502", ""},
+  };
+  const auto upload = std::string(long_body_bytes, 'a');
+  auto number = 0;
+  for (const auto& from : entries()) {
+    for (const auto& x : examples) {
+      section(from.name + ", " + x.name, [&] {
+        server.end = x.end;
+        server.script = [&](const std::string& id) {
+          return "HTTP/1.1 200 X\r\nX-Attempt-Id: " + id + "\r\n" + is_signed +
+                 x.framing;
+        };
+        const auto id = "upload" + std::to_string(++number);
+        const auto answer =
+            fleet.exchange(from.vm, fleet.call_port(),
+                           request_bytes("POST /act/x", id, upload));
+        EXPECT_EQ(status_of(answer), x.status);
+        EXPECT_EQ(body_of(answer), x.body);
+      });
+    }
+  }
+}
+
 // Guards against callers that wait for their whole deadline, and a place that
 // stays taken, when the server loses an answer without a reset or keeps silent
 // because it is full.
 TEST(faulty_server, is_not_waited_for_after_it_answered_later_calls) {
   auto fleet = loopback_fleet{};
   fleet.begin();
-  auto patient = std::string{config_text};
-  patient.replace(patient.find("r1"), 2, "r3");
-  for (auto at = patient.find("\"3s\""); at != std::string::npos;
-       at = patient.find("\"3s\"")) {
-    patient.replace(at, 4, "\"90s\"");
-  }
-  ASSERT_EQ(status_of(fleet.put_in_force("r1", patient)), "200");
+  ASSERT_TRUE(set_generous_limits(fleet));
   fleet.backend->script = [](const std::string& id) {
     return id.find("silent") == 0 ? "" : complete(id);
   };
-  const auto request = [](const std::string& start, const std::string& id) {
-    return start + " HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: " + id +
-           "\r\nX-Deadline-Ms: 90000\r\nContent-Length: 0\r\n\r\n";
-  };
   auto number = 0;
   const auto answer_others = [&](const std::string& method,
                                  const std::string& path, int count) {
@@ -297,9 +386,9 @@
   auto repeatable = std::string{};
   auto once = std::string{};
   answer_others("GET", "/read/x", 80);
-  fleet.call_in_background(request("GET /read/x", "silent1"),
+  fleet.call_in_background(request_bytes("GET /read/x", "silent1"),
                            [&](const std::string& x) { repeatable = x; });
-  fleet.call_in_background(request("POST /act/x", "silent2"),
+  fleet.call_in_background(request_bytes("POST /act/x", "silent2"),
                            [&](const std::string& x) { once = x; });
   answer_others("POST", "/act/x", 80);
   answer_others("GET", "/read/x", 80);
--- a/test/adapter-http-client-test.cc
+++ b/test/adapter-http-client-test.cc
@@ -3,18 +3,17 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/streambuf.hpp>
-#include <boost/asio/write.hpp>
-#include <functional>
-#include <set>
+#include <string>
 #include <thread>
+#include <vector>
 
-#include "adapters/asio.h"
 #include "figwind/response_limit.h"
+#include "raw-server.h"
 #include "section.h"
 
 using namespace figwind;
+using figwind::test::max_sent_bytes;
+using figwind::test::raw_server;
 using figwind::test::section;
 
 namespace {
@@ -26,107 +25,11 @@
          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-// What one connection may take of an endless response, with the buffers of the
-// kernel at both ends.
-constexpr auto max_sent_bytes = 2 * max_response_bytes;
-
-/// Server whose handler writes the bytes for each request, on a thread of its
-/// own for each connection.
-class raw_server {
- public:
-  using handler = std::function<std::string(const std::string& id)>;
-
-  explicit raw_server(handler answer)
-      : answer_{std::move(answer)},
-        acceptor_{loop_, *parse_endpoint({"127.0.0.1:0"})},
-        thread_{[this] { serve(); }} {}
-  ~raw_server() {
-    auto ignored = boost::system::error_code{};
-    // Wakes the thread that accepts.
-    is_stopped_ = true;
-    auto last = tcp::socket{loop_};
-    last.connect(acceptor_.local_endpoint(), ignored);
-    thread_.join();
-    for (auto& x : sockets_) x->shutdown(tcp::socket::shutdown_both, ignored);
-    for (auto& x : threads_) x.join();
-  }
-  raw_server(const raw_server&) = delete;
-  auto operator=(const raw_server&) -> raw_server& = delete;
-
-  auto address() const -> vm_address {
-    return {"127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port())};
-  }
-
-  std::atomic<int> connections{0};
-  /// True if the server closes each connection after what it has written.
-  std::atomic<bool> closes{false};
-  /// If not empty, written after the handler's bytes until the client closes.
-  std::string endless;
-  /// Most bytes of `endless` on one connection.
-  std::atomic<std::size_t> longest{0};
-
- private:
-  void serve() {
-    for (;;) {
-      auto socket = std::make_shared<tcp::socket>(loop_);
-      auto error = boost::system::error_code{};
-      acceptor_.accept(*socket, error);
-      if (error || is_stopped_) return;
-      ++connections;
-      sockets_.push_back(socket);
-      threads_.emplace_back([this, socket] { serve(*socket); });
-    }
-  }
-
-  void serve(tcp::socket& socket) {
-    auto input = asio::streambuf{};
-    for (;;) {
-      auto error = boost::system::error_code{};
-      const auto size = asio::read_until(socket, input, "\r\n\r\n", error);
-      if (error) return;
-      const auto data = input.data();
-      const auto head = std::string{
-          asio::buffers_begin(data),
-          asio::buffers_begin(data) + static_cast<std::ptrdiff_t>(size)};
-      input.consume(size);
-      const auto at = head.find("Figwind-Request-Id: ") + 20;
-      asio::write(
-          socket,
-          asio::buffer(answer_(head.substr(at, head.find('\r', at) - at))),
-          error);
-      if (!endless.empty()) return send_without_end(socket);
-      if (!closes) continue;
-      socket.shutdown(tcp::socket::shutdown_both, error);
-      return;
-    }
-  }
-
-  void send_without_end(tcp::socket& socket) {
-    auto error = boost::system::error_code{};
-    auto sent = std::size_t{0};
-    // Ends also if the client reads all.
-    while (!error && sent <= 2 * max_sent_bytes) {
-      sent += asio::write(socket, asio::buffer(endless), error);
-    }
-    socket.close(error);
-    auto most = longest.load();
-    while (sent > most && !longest.compare_exchange_weak(most, sent)) {
-    }
-  }
-
-  handler answer_;
-  event_loop loop_;
-  tcp::acceptor acceptor_;
-  std::atomic<bool> is_stopped_{false};
-  std::vector<std::shared_ptr<tcp::socket>> sockets_;
-  std::vector<std::thread> threads_;
-  std::thread thread_;
-};
-
-auto send(http_client& client, const raw_server& to, const std::string& id)
-    -> http_response {
+auto send(http_client& client, const raw_server& to, const std::string& id,
+          const std::string& body = {}) -> http_response {
   return client.post_request(to.address(), "/v1/work/x",
-                             {{"Figwind-Request-Id", id}}, "", seconds(20), id);
+                             {{"Figwind-Request-Id", id}}, body, seconds(20),
+                             id);
 }
 
 }  // namespace
@@ -219,6 +122,25 @@
   }
 }
 
+// Guards against a part of an answer that counts as complete because the
+// server reset the connection while it was sent a long upload.
+TEST(http_client, completes_no_answer_by_a_reset_during_an_upload) {
+  const auto head = std::string{"HTTP/1.1 200 OK\r\nFigwind-Request-Id: 1\r\n"};
+  // Longer than what the sockets of both ends hold.
+  const auto upload = std::string(std::size_t{16} << 20U, 'a');
+  for (const auto* framing :
+       {"\r\nhello", "Content-Length: 9\r\n\r\nhello",
+        "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"}) {
+    section(framing, [&] {
+      auto server =
+          raw_server{[&](const std::string&) { return head + framing; }};
+      server.resets = true;
+      auto client = http_client{4};
+      EXPECT_EQ(send(client, server, "1", upload).result, http_result::broken);
+    });
+  }
+}
+
 // Guards against a connection for each request to a server that returns ids.
 TEST(http_client, reuses_connections_that_return_the_id) {
   auto server = raw_server{
--- a/test/loopback-fleet.h
+++ b/test/loopback-fleet.h
@@ -78,7 +78,17 @@
   std::size_t endless_bytes = 0;
   int endless_connections = 0;
   /// What the server does with a connection after the script's bytes.
-  enum class ending { keep, close, reset };
+  enum class ending {
+    keep,
+    close,
+    reset,
+    /// Ends its side only, and reads what the peer still sends.
+    half_close,
+    /// Ends its side only, and reads no more.
+    half_close_unread,
+    /// Ends its side, and resets the connection some time later.
+    half_close_then_reset,
+  };
   ending end = ending::keep;
   /// Sent on the same connection some time after the script's bytes, while the
   /// connection is idle.
@@ -98,6 +108,7 @@
     int number;
     asio::streambuf input;
     std::string output;
+    std::array<char, 4096> discarded{};
   };
 
   void accept() {
@@ -135,13 +146,14 @@
   }
 
   void write(const std::shared_ptr<connection>& x) {
+    if (end == ending::close || end == ending::reset) return write_and_end(*x);
     const auto close =
         x->output.find("\r\nConnection: close") != std::string::npos;
     asio::async_write(
         x->socket, asio::buffer(x->output),
         [this, x, close](boost::system::error_code failed, std::size_t) {
-          if (failed || end == ending::close) return;
-          if (end == ending::reset) return reset(*x);
+          if (failed) return;
+          if (end != ending::keep) return half_close(x);
           if (!late.empty()) send_late(x);
           if (!endless.empty()) {
             ++endless_connections;
@@ -153,6 +165,15 @@
         });
   }
 
+  /// Writes and ends the connection in one turn of the loop, so that the node
+  /// sees both at once.
+  void write_and_end(connection& x) {
+    auto failed = boost::system::error_code{};
+    asio::write(x.socket, asio::buffer(x.output), failed);
+    if (!failed && end == ending::reset) return reset(x);
+    x.socket.close(failed);
+  }
+
   /// Waits until the bytes before have been read, so that the reset discards
   /// none of them.
   void reset(connection& x) {
@@ -165,16 +186,38 @@
     x.socket.close(ignored);
   }
 
+  void half_close(const std::shared_ptr<connection>& x) {
+    auto ignored = boost::system::error_code{};
+    x->socket.shutdown(tcp::socket::shutdown_send, ignored);
+    if (end == ending::half_close) return discard_input(x);
+    half_closed_.push_back(x);
+    if (end != ending::half_close_then_reset) return;
+    after_pause([this, x] { reset(*x); });
+  }
+
+  void discard_input(const std::shared_ptr<connection>& x) {
+    x->socket.async_read_some(
+        asio::buffer(x->discarded),
+        [this, x](boost::system::error_code error, std::size_t) {
+          if (!error) discard_input(x);
+        });
+  }
+
   void send_late(const std::shared_ptr<connection>& x) {
-    auto timer = std::make_shared<asio::steady_timer>(acceptor_.get_executor());
-    timer->expires_after(std::chrono::milliseconds{5});
-    timer->async_wait([this, timer, x](boost::system::error_code) {
+    after_pause([this, x] {
       auto ignored = boost::system::error_code{};
       asio::write(x->socket, asio::buffer(late), ignored);
       ++late_writes;
     });
   }
 
+  template <class Action>
+  void after_pause(Action action) {
+    auto timer = std::make_shared<asio::steady_timer>(acceptor_.get_executor());
+    timer->expires_after(std::chrono::milliseconds{5});
+    timer->async_wait([timer, action](boost::system::error_code) { action(); });
+  }
+
   void send_without_end(const std::shared_ptr<connection>& x) {
     asio::async_write(
         x->socket, asio::buffer(x->output),
@@ -189,6 +232,8 @@
   }
 
   tcp::acceptor acceptor_;
+  /// Connections that stay open though nobody reads them.
+  std::vector<std::shared_ptr<connection>> half_closed_;
 };
 
 inline auto server_response(const std::string& id, int status,
