Refuse responses with a status outside 100 to 599

What callers saw: a server's response with status 000 was skipped like an interim response. The caller waited for its deadline, also when the server had closed the connection after a response without a length. figwindd took statuses 600 and 999 as answers of the backend server.

Cause: Boost.Beast accepts any three digits, and both clients skip what is below 200. After the end of the stream the next read waits for an event that does not come again.

Fix: both clients parse with response_parser, which returns an error as soon as the head has such a status (RFC 9110, section 15). The request ends as broken, at once, and the caller gets 502.

--- a/src/adapters/backend_client.cc
+++ b/src/adapters/backend_client.cc
@@ -9,6 +9,7 @@
 
 #include "adapters/clock.h"
 #include "adapters/http_server.h"
+#include "adapters/response_parser.h"
 #include "figwind/parse.h"
 #include "figwind/response_limit.h"
 
@@ -102,8 +103,6 @@
   }
 
  private:
-  using parser = http::response_parser<http::string_body>;
-
   /// Replaces the timer in force. After a pause of the process, the wait of the
   /// replaced timer may be over already and its handler queued, so that it can
   /// no longer be cancelled.
@@ -168,11 +167,7 @@
   }
 
   void read() {
-    parser_.emplace();
-    parser_->body_limit(max_response_bytes);
-    parser_->header_limit(max_header_bytes);
-    parser_->eager(true);
-    if (request_.method == "HEAD") parser_->skip(true);
+    parser_.emplace(max_header_bytes, request_.method == "HEAD");
     parse();
   }
 
@@ -180,11 +175,9 @@
   /// complete. Bytes are counted as they are read from the socket: the parser
   /// does not report the bytes of an incomplete chunk head.
   void parse() {
-    auto error = error_code{};
     if (buffer_.size() > 0) {
-      buffer_.consume(parser_->put(buffer_.data(), error));
-      if (error && error != http::error::need_more)
-        return finish(backend_outcome::failed, error.message());
+      const auto error = parser_->parse(buffer_);
+      if (error) return finish(backend_outcome::failed, error.message());
       if (parser_->is_done()) return handle_response();
     }
     if (buffer_.size() + read_bytes_ > max_unparsed_bytes)
@@ -212,12 +205,9 @@
   }
 
   void on_end_of_stream() {
-    if (!parser_->got_some())
-      return finish(backend_outcome::failed, "end of stream");
-    const auto ends_with_connection =
-        parser_->is_header_done() && parser_->need_eof();
-    if (ends_with_connection && !is_request_written_ &&
-        !is_connection_broken_) {
+    const auto is_write_pending =
+        !is_request_written_ && !is_connection_broken_;
+    if (parser_->ends_with_connection() && is_write_pending) {
       awaits_reset_ = true;
       start_timer(reset_wait, backend_outcome::failed);
       return;
@@ -232,8 +222,7 @@
     awaits_reset_ = false;
     if (is_connection_broken_)
       return finish(backend_outcome::failed, "connection reset");
-    auto error = error_code{};
-    parser_->put_eof(error);
+    const auto error = parser_->parse_end();
     if (error) return finish(backend_outcome::failed, error.message());
     handle_response();
   }
@@ -303,7 +292,7 @@
   std::optional<tcp::socket> socket_;
   http::request<http::string_body> message_;
   boost::beast::flat_buffer buffer_{max_unparsed_bytes};
-  std::optional<parser> parser_;
+  std::optional<response_parser> parser_;
   backend_response response_;
   std::size_t read_bytes_ = min_read_bytes;
   std::size_t received_bytes_ = 0;
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -9,6 +9,7 @@
 #include "adapters/address.h"
 #include "adapters/asio.h"
 #include "adapters/call_headers.h"
+#include "adapters/response_parser.h"
 #include "figwind/response_limit.h"
 
 namespace figwind {
@@ -22,6 +23,7 @@
 constexpr auto max_header_bytes = std::uint32_t{64} << 10U;
 // Received bytes that are not parsed yet, such as the extension of a chunk.
 constexpr auto max_unparsed_bytes = std::size_t{128} << 10U;
+constexpr auto read_bytes = std::size_t{64} << 10U;
 // Interim responses before the final one.
 constexpr auto max_interim_responses = 16;
 
@@ -43,10 +45,10 @@
   counted_response(counted_response&&) = delete;
   auto operator=(counted_response&&) -> counted_response& = delete;
 
-  /// The response has `bytes` so far. Returns false if it is too long.
-  auto set(std::size_t bytes) -> bool {
-    owner_.received_bytes_ += bytes - bytes_;
-    bytes_ = bytes;
+  /// Counts received bytes. Returns false if the response is too long.
+  auto add(std::size_t bytes) -> bool {
+    owner_.received_bytes_ += bytes;
+    bytes_ += bytes;
     return may_receive_more(bytes_, owner_.received_bytes_,
                             owner_.active_exchanges_);
   }
@@ -114,33 +116,45 @@
     return out;
   }
 
-  using parser = http::response_parser<http::string_body>;
-
   /// Reads the rest of a response.
-  auto read_all(parser& to, http_client::counted_response& received)
+  auto read_all(response_parser& to, http_client::counted_response& received)
       -> error_code {
-    while (!to.is_done()) {
-      const auto error = wait([&](auto done) {
-        http::async_read_some(stream_, buffer_, to, done);
-      });
-      if (error) return error;
-      if (!received.set(to.get().body().size() + buffer_.size())) {
-        return http::error::body_limit;
+    for (;;) {
+      if (buffer_.size() > 0) {
+        const auto error = to.parse(buffer_);
+        if (error || to.is_done()) return error;
+      }
+      if (buffer_.size() + read_bytes > max_unparsed_bytes) {
+        return http::error::buffer_overflow;
       }
+      auto size = std::size_t{0};
+      const auto error = read_some(size);
+      if (error == asio::error::eof) return to.parse_end();
+      if (error) return error;
+      buffer_.commit(size);
+      if (!received.add(size)) return http::error::body_limit;
     }
-    return {};
+  }
+
+  auto read_some(std::size_t& size) -> error_code {
+    return wait([&](auto done) {
+      stream_.async_read_some(buffer_.prepare(read_bytes),
+                              [&size, done](error_code error, std::size_t got) {
+                                size = got;
+                                done(error);
+                              });
+    });
   }
 
   auto read(http_client::counted_response& received) -> http_response {
     for (auto i = 0; i <= max_interim_responses; ++i) {
-      auto parser = http_connection::parser{};
-      parser.body_limit(max_response_bytes);
-      parser.header_limit(max_header_bytes);
+      auto parser = response_parser{max_header_bytes, false};
       const auto error = read_all(parser, received);
       if (error) return failure(error);
-      if (parser.get().result_int() < 200) continue;
-      keeps_alive_ = parser.get().keep_alive() && buffer_.size() == 0;
-      return to_response(parser.release());
+      auto message = parser.release();
+      if (message.result_int() < 200) continue;
+      keeps_alive_ = message.keep_alive() && buffer_.size() == 0;
+      return to_response(std::move(message));
     }
     return {http_result::broken, 0, {}, {}};
   }
--- a/test/adapter-faulty-server-test.cc
+++ b/test/adapter-faulty-server-test.cc
@@ -6,6 +6,7 @@
 
 #include <set>
 
+#include "broken-heads.h"
 #include "loopback-fleet.h"
 #include "section.h"
 
@@ -365,6 +366,67 @@
   }
 }
 
+// Guards against an answer with an invalid status that reaches the caller, is
+// skipped as an interim response in front of another one, or keeps the caller
+// waiting.
+TEST(faulty_server, passes_on_no_invalid_status) {
+  auto fleet = loopback_fleet{};
+  fleet.begin();
+  ASSERT_TRUE(set_generous_limits(fleet));
+  auto& server = *fleet.backend;
+  struct example {
+    std::string name;
+    /// Field lines, the empty line and what follows it.
+    std::function<std::string(const std::string& id)> rest;
+    ending end;
+  };
+  const auto examples = std::vector<example>{
+      {"before an answer",
+       [](const std::string& id) { return "\r\n" + complete(id); },
+       ending::keep},
+      {"with a length",
+       [](const std::string&) {
+         return std::string{"Content-Length: 5\r\n\r\nhello"};
+       },
+       ending::keep},
+      {"with a length, reset",
+       [](const std::string&) {
+         return std::string{"Content-Length: 9\r\n\r\nhello"};
+       },
+       ending::reset},
+      {"without a length",
+       [](const std::string&) { return std::string{"\r\nhello"}; },
+       ending::close},
+      {"without a length, connection kept",
+       [](const std::string&) { return std::string{"\r\nhello"}; },
+       ending::keep},
+      {"as a refusal",
+       [](const std::string&) {
+         return std::string{"X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"};
+       },
+       ending::keep},
+  };
+  auto number = 0;
+  for (const auto& from : entries()) {
+    for (const auto& status : invalid_statuses()) {
+      for (const auto& x : examples) {
+        section(from.name + ", " + status + " " + x.name, [&] {
+          server.end = x.end;
+          server.script = [&](const std::string& id) {
+            return "HTTP/1.1 " + status + " X\r\nX-Attempt-Id: " + id + "\r\n" +
+                   is_signed + x.rest(id);
+          };
+          const auto id = "status" + std::to_string(++number);
+          const auto answer = fleet.exchange(from.vm, fleet.call_port(),
+                                             request_bytes("POST /act/x", id));
+          EXPECT_EQ(status_of(answer), "502");
+          EXPECT_EQ(body_of(answer), "");
+        });
+      }
+    }
+  }
+}
+
 // Guards against callers that wait for their whole deadline, and a place that
 // stays taken, when the server loses an answer without a reset or keeps silent
 // because it is full.
--- a/test/adapter-http-client-test.cc
+++ b/test/adapter-http-client-test.cc
@@ -7,11 +7,13 @@
 #include <thread>
 #include <vector>
 
+#include "broken-heads.h"
 #include "figwind/response_limit.h"
 #include "raw-server.h"
 #include "section.h"
 
 using namespace figwind;
+using figwind::test::invalid_statuses;
 using figwind::test::max_sent_bytes;
 using figwind::test::raw_server;
 using figwind::test::section;
@@ -141,6 +143,23 @@
   }
 }
 
+// Guards against an answer with an invalid status that counts as one, is
+// skipped as an interim response, or keeps the caller waiting.
+TEST(http_client, takes_no_answer_with_an_invalid_status) {
+  for (const auto& status : invalid_statuses()) {
+    for (const auto* rest : {"Content-Length: 2\r\n\r\nok", "\r\nok"}) {
+      section(status + " " + rest, [&] {
+        auto server = raw_server{[&](const std::string& id) {
+          return "HTTP/1.1 " + status + " X\r\nFigwind-Request-Id: " + id +
+                 "\r\n" + rest + response(id, "to " + id);
+        }};
+        auto client = http_client{4};
+        EXPECT_EQ(send(client, server, "1").result, http_result::broken);
+      });
+    }
+  }
+}
+
 // Guards against a connection for each request to a server that returns ids.
 TEST(http_client, reuses_connections_that_return_the_id) {
   auto server = raw_server{
