Refuse responses with folded field lines

What callers saw: a server's response with a line that began with a blank or a tab before the name of its field. With " Content-Length: 5" the caller got 200 with 12 bytes where the server's body had 5, or no response until its deadline if the server kept the connection. With another name the line reached the caller as a part of the field before it.

Cause: Boost.Beast takes such a line for the continuation of the line before (obs-fold) and joins them, in heads and in trailers. The other invalid names (a blank or a tab inside a name or before the colon, control bytes, no name, no colon) it refuses.

Fix: response_parser refuses a folded line with bad_field, as RFC 9112, section 5.2, allows a proxy to. It recognizes the fold by the value, which is not on the line of the name. The caller gets 502 at once.

--- a/src/adapters/response_parser.h
+++ b/src/adapters/response_parser.h
@@ -11,8 +11,10 @@
 
 namespace figwind {
 
-/// Parses one response as its bytes arrive. Refuses a status code outside 100
-/// to 599 (RFC 9110, section 15), which Boost.Beast accepts.
+/// Parses one response as its bytes arrive. Refuses what Boost.Beast accepts
+/// but must not be passed on: a status code outside 100 to 599 (RFC 9110,
+/// section 15), and a folded field line (RFC 9112, section 5.2), which may as
+/// well be a field whose name begins with a blank.
 class response_parser
     : private boost::beast::http::parser<false,
                                          boost::beast::http::string_body> {
@@ -44,6 +46,15 @@
   [[nodiscard]] auto ends_with_connection() const -> bool {
     return is_header_done() && need_eof();
   }
+
+ private:
+  void on_field_impl(boost::beast::http::field field,
+                     boost::beast::string_view name,
+                     boost::beast::string_view value,
+                     error_code& error) override;
+
+  /// End of the bytes that are being parsed.
+  const char* input_end_ = nullptr;
 };
 
 }  // namespace figwind
--- a/test/adapter-faulty-server-test.cc
+++ b/test/adapter-faulty-server-test.cc
@@ -427,6 +427,49 @@
   }
 }
 
+// Guards against an answer with an invalid field name that reaches the caller,
+// or whose body does not end where the server's does.
+TEST(faulty_server, passes_on_no_invalid_field_name) {
+  auto fleet = loopback_fleet{};
+  fleet.begin();
+  ASSERT_TRUE(set_generous_limits(fleet));
+  auto& server = *fleet.backend;
+  auto number = 0;
+  const auto check = [&](int vm, const std::function<std::string(
+                                     const std::string& valid_lines)>& answer) {
+    for (const auto end : {ending::close, ending::keep}) {
+      section(end == ending::close ? "closed" : "kept", [&] {
+        server.end = end;
+        server.script = [&](const std::string& id) {
+          return "HTTP/1.1 200 X\r\n" +
+                 answer("X-Attempt-Id: " + id + "\r\n" + is_signed);
+        };
+        const auto id = "name" + std::to_string(++number);
+        const auto got = fleet.exchange(vm, fleet.call_port(),
+                                        request_bytes("POST /act/x", id));
+        EXPECT_EQ(status_of(got), "502");
+        EXPECT_EQ(body_of(got), "");
+      });
+    }
+  };
+  for (const auto& from : entries()) {
+    for (const auto& x : broken_field_lines()) {
+      section(from.name + ", " + x.name, [&] {
+        section("behind the other fields", [&] {
+          check(from.vm, [&](const std::string& valid) {
+            return valid + x.lines + "\r\n" + x.body;
+          });
+        });
+        section("before the other fields", [&] {
+          check(from.vm, [&](const std::string& valid) {
+            return x.lines + valid + "\r\n" + x.body;
+          });
+        });
+      });
+    }
+  }
+}
+
 // Guards against callers that wait for their whole deadline, and a place that
 // stays taken, when the server loses an answer without a reset or keeps silent
 // because it is full.
--- a/test/adapter-http-client-test.cc
+++ b/test/adapter-http-client-test.cc
@@ -13,6 +13,7 @@
 #include "section.h"
 
 using namespace figwind;
+using figwind::test::broken_field_lines;
 using figwind::test::invalid_statuses;
 using figwind::test::max_sent_bytes;
 using figwind::test::raw_server;
@@ -160,6 +161,24 @@
   }
 }
 
+// Guards against an answer with an invalid field name that counts as one, or
+// whose body does not end where the server's does.
+TEST(http_client, takes_no_answer_with_an_invalid_field_name) {
+  for (const auto& x : broken_field_lines()) {
+    section(x.name, [&] {
+      auto server = raw_server{[&](const std::string& id) {
+        return "HTTP/1.1 200 OK\r\nFigwind-Request-Id: " + id + "\r\n" +
+               x.lines + "\r\n" + x.body;
+      }};
+      for (const auto closes : {true, false}) {
+        server.closes = closes;
+        auto client = http_client{4};
+        EXPECT_EQ(send(client, server, "1").result, http_result::broken);
+      }
+    });
+  }
+}
+
 // Guards against a connection for each request to a server that returns ids.
 TEST(http_client, reuses_connections_that_return_the_id) {
   auto server = raw_server{
