Read answers of the command line with the reader of figwindd

What operators saw: `figwind` took an answer with status 000, 600 or 999, with an invalid field name, or one that broke off inside the line end behind a chunk, for a whole one. By the code, a change whose answer has status 000 is reported as refused, though it may have been accepted.

Cause: the client of cpp-httplib 0.11 accepts any three digits, skips or splits field lines that it cannot read, so that an invalid Content-Length leaves the body without an end, and ends chunked bodies early.

Fix: the command line sends by http_client::send_once, which reads with response_parser, so there is one client. `--timeout` bounds the connection and each part of the answer as before.

--- a/src/adapters/address.h
+++ b/src/adapters/address.h
@@ -14,7 +14,8 @@
   int port = 0;
 };
 
-/// Splits `address`; port 0 when it has none.
+/// Splits `address`; port 0 when it has none. The host of an IPv6 address comes
+/// without its brackets.
 auto split(const vm_address& address) -> host_port;
 
 }  // namespace figwind
--- a/src/adapters/http_client.cc
+++ b/src/adapters/http_client.cc
@@ -4,6 +4,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <optional>
 #include <utility>
 
 #include "adapters/address.h"
@@ -64,6 +65,10 @@
 /// chunked response for complete if it breaks off behind the data of a chunk.
 class http_connection {
  public:
+  /// Gives each operation the time `limit`, in place of the limits of `open`
+  /// and `exchange`.
+  void limit_each_operation(duration limit) { operation_limit_ = limit; }
+
   /// Returns false if `to` accepts no connection in time.
   auto open(const vm_address& to) -> bool {
     const auto at = split(to);
@@ -108,7 +113,7 @@
     out.target(x.path);
     out.set(http::field::host, host_);
     for (const auto& [name, value] : x.headers) out.insert(name, value);
-    if (x.method == "POST") {
+    if (x.method == "POST" && out.count(http::field::content_type) == 0) {
       out.set(http::field::content_type, "application/octet-stream");
     }
     out.body() = x.body;
@@ -181,6 +186,7 @@
   /// error.
   template <class Start>
   auto wait(Start start) -> error_code {
+    if (operation_limit_) stream_.expires_after(to_chrono(*operation_limit_));
     auto out = error_code{asio::error::operation_aborted};
     start([&out](error_code error, const auto&...) { out = error; });
     loop_.restart();
@@ -192,6 +198,7 @@
   beast::tcp_stream stream_{loop_};
   beast::flat_buffer buffer_{max_unparsed_bytes};
   std::string host_;
+  std::optional<duration> operation_limit_;
   bool keeps_alive_ = false;
 };
 
@@ -233,6 +240,16 @@
   return response;
 }
 
+auto http_client::send_once(const vm_address& to, const request& x,
+                            duration timeout) -> http_response {
+  auto owner = http_client{0};
+  auto connection = http_connection{};
+  connection.limit_each_operation(timeout);
+  if (!connection.open(to)) return {http_result::not_sent, 0, {}, {}};
+  auto received = counted_response{owner};
+  return connection.exchange(x, timeout, received);
+}
+
 auto http_client::post(const vm_address& to, const std::string& path,
                        const httplib::Headers& headers, const std::string& body,
                        duration timeout) -> http_response {
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -50,6 +50,20 @@
   http_client(http_client&&) = delete;
   auto operator=(http_client&&) -> http_client& = delete;
 
+  struct request {
+    std::string method;
+    std::string path;
+    /// A POST without `Content-Type` is sent as `application/octet-stream`.
+    httplib::Headers headers;
+    std::string body;
+  };
+
+  /// Sends one request on a connection of its own. Waits at most `timeout` for
+  /// the connection, for the request to be sent and for each part of the
+  /// response.
+  static auto send_once(const vm_address& to, const request& x,
+                        duration timeout) -> http_response;
+
   /// Sends one POST; waits at most `timeout` for the response.
   auto post(const vm_address& to, const std::string& path,
             const httplib::Headers& headers, const std::string& body,
@@ -79,12 +93,6 @@
  private:
   using connection = std::unique_ptr<http_connection>;
   class counted_response;
-  struct request {
-    std::string method;
-    std::string path;
-    httplib::Headers headers;
-    std::string body;
-  };
 
   friend class http_connection;
 
