Do not read on after the end of a connection

What callers saw: a server closed its connection behind a response to another request that had no length. The caller waited for its deadline.

Cause: backend_client skips such a response, which ends with the stream, and reads the next one from the connection. The event loop reports the end of a stream once, so that read waits until the timeout.

Fix: a response that is skipped at the end of the stream ends the request as broken. The caller gets 502 at once. http_client skips interim responses only, which have no body and so do not end with the stream.

--- a/src/adapters/backend_client.cc
+++ b/src/adapters/backend_client.cc
@@ -162,7 +162,8 @@
   /// A response may arrive before the server has read the body. That response
   /// is valid, but the connection is not reused.
   void on_request_written(error_code error) {
-    (error ? is_connection_broken_ : is_request_written_) = true;
+    is_request_written_ = !error;
+    is_connection_broken_ = static_cast<bool>(error);
     if (awaits_reset_) complete_at_end_of_stream();
   }
 
@@ -219,7 +220,7 @@
   /// the server has not reset it. A failed write takes the error of the socket,
   /// so that reads return the end of the stream after a reset, too.
   void complete_at_end_of_stream() {
-    awaits_reset_ = false;
+    has_stream_ended_ = true;
     if (is_connection_broken_)
       return finish(backend_outcome::failed, "connection reset");
     const auto error = parser_->parse_end();
@@ -241,6 +242,9 @@
     if (is_interim || foreign) {
       if (++skipped_responses_ > max_skipped_responses)
         return finish(backend_outcome::failed, "responses without a request");
+      // The event loop reports the end of the stream only once.
+      if (has_stream_ended_)
+        return finish(backend_outcome::failed, "end of stream");
       return read();
     }
     if (echo.empty())
@@ -302,6 +306,7 @@
   /// True after the end of a response without a length, until the request has
   /// been written, the write has failed or no reset has followed.
   bool awaits_reset_ = false;
+  bool has_stream_ended_ = false;
   bool is_finished_ = false;
 };
 
--- a/test/adapter-faulty-server-test.cc
+++ b/test/adapter-faulty-server-test.cc
@@ -427,6 +427,41 @@
   }
 }
 
+// Guards against callers that wait for their deadline because the connection
+// has ended behind a response that is not theirs.
+TEST(faulty_server, is_not_waited_for_after_the_end_of_its_connection) {
+  auto fleet = loopback_fleet{};
+  fleet.begin();
+  ASSERT_TRUE(set_generous_limits(fleet));
+  auto& server = *fleet.backend;
+  server.end = ending::close;
+  struct example {
+    std::string name;
+    std::string bytes;
+  };
+  const auto other =
+      "HTTP/1.1 200 X\r\nX-Attempt-Id: other\r\n" + std::string{is_signed};
+  const auto examples = std::vector<example>{
+      {"nothing", ""},
+      {"an interim response", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"a response to another request",
+       other + "Content-Length: 5\r\n\r\nhello"},
+      {"one without a length", other + "\r\nhello"},
+  };
+  auto number = 0;
+  for (const auto& from : entries()) {
+    for (const auto& x : examples) {
+      section(from.name + ", " + x.name, [&] {
+        server.script = [&](const std::string&) { return x.bytes; };
+        const auto id = "ended" + std::to_string(++number);
+        const auto answer = fleet.exchange(from.vm, fleet.call_port(),
+                                           request_bytes("POST /act/x", id));
+        EXPECT_EQ(status_of(answer), "502");
+      });
+    }
+  }
+}
+
 // Guards against an answer with an invalid field name that reaches the caller,
 // or whose body does not end where the server's does.
 TEST(faulty_server, passes_on_no_invalid_field_name) {
