--- a/test/adapter-cli-client-test.cc
+++ b/test/adapter-cli-client-test.cc
@@ -42,6 +42,17 @@
   }
 }
 
+// Guards against an answer that is lost because it has no length and ends with
+// its connection.
+TEST(cli_client, completes_an_answer_by_the_end_of_its_connection) {
+  auto server = raw_server{
+      [](const std::string&) { return std::string{head} + "\r\nhello"; }};
+  server.closes = true;
+  const auto got = post(server);
+  ASSERT_TRUE(std::holds_alternative<cli::http_answer>(got));
+  EXPECT_EQ(std::get<cli::http_answer>(got).body, "hello");
+}
+
 // Guards against an answer with an invalid status that is reported as a refusal
 // of a change that was accepted.
 TEST(cli_client, takes_no_answer_with_an_invalid_status) {
--- a/test/adapter-http-client-test.cc
+++ b/test/adapter-http-client-test.cc
@@ -144,6 +144,18 @@
   }
 }
 
+// Guards against an answer that is lost because it has no length and ends with
+// its connection.
+TEST(http_client, completes_an_answer_by_the_end_of_its_connection) {
+  auto server = raw_server{[](const std::string& id) {
+    return "HTTP/1.1 200 OK\r\nFigwind-Request-Id: " + id + "\r\n\r\nhello";
+  }};
+  server.closes = true;
+  auto client = http_client{4};
+  EXPECT_EQ(send(client, server, "1").body, "hello");
+  EXPECT_EQ(send(client, server, "2").body, "hello");
+}
+
 // Guards against an answer with an invalid status that counts as one, is
 // skipped as an interim response, or keeps the caller waiting.
 TEST(http_client, takes_no_answer_with_an_invalid_status) {
